--- /dev/null
+++ b/src/home/dispatcher.cpp
@@ -0,0 +1,303 @@
+/** @file dispatcher.cpp Waiting tasks and slot credits of one entry. */
+
+#include "home/dispatcher.h"
+
+#include <algorithm>
+
+namespace medlarmill
+{
+
+namespace
+{
+
+constexpr std::uint32_t LOCAL_ZONE_BONUS = 1U << 20U; ///< Raises agents of the same availability zone above all others.
+constexpr std::int64_t WORK_FACTOR = 4; ///< A job waits behind later arrivals for up to so many times its own expected duration.
+
+}
+
+Dispatcher::AgentRank Dispatcher::rankOf(Incarnation agent, std::uint32_t credits, bool isLocal)
+{
+    return {credits + (isLocal ? LOCAL_ZONE_BONUS : 0), agent};
+}
+
+void Dispatcher::unlist(ServiceQueue &queue, Incarnation agent, const AgentState &state)
+{
+    queue.general.erase(rankOf(agent, state.credits.general, state.isLocal));
+    queue.shortOnly.erase(rankOf(agent, state.credits.shortOnly, state.isLocal));
+    queue.credits -= state.credits.total();
+}
+
+void Dispatcher::list(ServiceQueue &queue, Incarnation agent, const AgentState &state)
+{
+    if (state.credits.general > 0) {
+        queue.general.insert(rankOf(agent, state.credits.general, state.isLocal));
+    }
+    if (state.credits.shortOnly > 0) {
+        queue.shortOnly.insert(rankOf(agent, state.credits.shortOnly, state.isLocal));
+    }
+    queue.credits += state.credits.total();
+}
+
+void Dispatcher::addAgent(Incarnation agent, std::string_view service, bool isLocal)
+{
+    removeAgent(agent);
+    agents_[agent] = {std::string(service), isLocal, {}};
+    quarantine_.add(agent);
+}
+
+void Dispatcher::removeAgent(Incarnation agent)
+{
+    const auto found = agents_.find(agent);
+    if (found == agents_.end()) {
+        return;
+    }
+    unlist(services_[found->second.service], agent, found->second);
+    agents_.erase(found);
+    quarantine_.remove(agent);
+}
+
+void Dispatcher::addCredits(Incarnation agent, Credits credits)
+{
+    const auto found = agents_.find(agent);
+    if (found == agents_.end()) {
+        return;
+    }
+    AgentState &state = found->second;
+    ServiceQueue &queue = services_[state.service];
+    unlist(queue, agent, state);
+    state.credits.general += credits.general;
+    state.credits.shortOnly += credits.shortOnly;
+    list(queue, agent, state);
+}
+
+void Dispatcher::enqueue(std::string_view service, std::string_view team, std::uint32_t weight, JobSequence job,
+                         std::vector<WaitingTask> tasks, std::uint32_t slots, Instant now)
+{
+    ServiceQueue &queue = services_[std::string(service)];
+    TeamQueue &teamQueue = queue.teams[std::string(team)];
+    if (teamQueue.waiting == 0) {
+        for (const auto &[name, other] : queue.teams) {
+            if (other.waiting > 0) {
+                teamQueue.virtualTime = std::max(teamQueue.virtualTime, other.virtualTime);
+                break;
+            }
+        }
+    }
+    teamQueue.weight = std::max(weight, 1U);
+    std::ranges::stable_sort(tasks, std::ranges::greater(), &WaitingTask::expected);
+
+    auto [position, isNew] = queue.jobs.try_emplace(job);
+    WaitingJob &waitingJob = position->second;
+    Duration work{0};
+    for (const WaitingTask &task : tasks) {
+        work += task.expected;
+        (task.isLong ? waitingJob.longTasks : waitingJob.shortTasks).push_back(task);
+    }
+    if (isNew) {
+        waitingJob.team = team;
+        waitingJob.rank = {now.time_since_epoch().count() + WORK_FACTOR * work.count() / std::max(slots, 1U), job};
+    }
+    if (!waitingJob.shortTasks.empty()) {
+        teamQueue.withShort.insert(waitingJob.rank);
+    }
+    if (!waitingJob.longTasks.empty()) {
+        teamQueue.withLong.insert(waitingJob.rank);
+    }
+    const auto count = static_cast<std::uint32_t>(tasks.size());
+    teamQueue.waiting += count;
+    queue.waiting += count;
+    queue.backlog += work;
+}
+
+void Dispatcher::cancel(std::string_view service, JobSequence job)
+{
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return;
+    }
+    ServiceQueue &queue = found->second;
+    const auto position = queue.jobs.find(job);
+    if (position == queue.jobs.end()) {
+        return;
+    }
+    WaitingJob &waitingJob = position->second;
+    TeamQueue &team = queue.teams[waitingJob.team];
+    team.withShort.erase(waitingJob.rank);
+    team.withLong.erase(waitingJob.rank);
+    for (const auto *tasks : {&waitingJob.shortTasks, &waitingJob.longTasks}) {
+        for (const WaitingTask &task : *tasks) {
+            queue.backlog -= task.expected;
+        }
+        team.waiting -= static_cast<std::uint32_t>(tasks->size());
+        queue.waiting -= static_cast<std::uint32_t>(tasks->size());
+    }
+    queue.jobs.erase(position);
+}
+
+Incarnation Dispatcher::chooseAgent(const absl::btree_set<AgentRank> &agents, Instant now) const
+{
+    for (auto position = agents.rbegin(); position != agents.rend(); ++position) {
+        if (quarantine_.isUsable(position->second, now)) {
+            return position->second;
+        }
+    }
+    return INVALID_INCARNATION;
+}
+
+std::optional<Dispatcher::Choice> Dispatcher::chooseTask(ServiceQueue &queue, bool allowLong)
+{
+    std::optional<Choice> best;
+    for (auto &[name, team] : queue.teams) {
+        const bool hasLong = allowLong && !team.withLong.empty();
+        if (team.withShort.empty() && !hasLong) {
+            continue;
+        }
+        if (best && best->team->virtualTime <= team.virtualTime) {
+            continue;
+        }
+        const bool longFirst = hasLong && (team.withShort.empty() || *team.withLong.begin() < *team.withShort.begin());
+        best = Choice{&team, longFirst ? *team.withLong.begin() : *team.withShort.begin(), longFirst};
+    }
+    return best;
+}
+
+WaitingTask Dispatcher::takeTask(ServiceQueue &queue, const Choice &choice)
+{
+    WaitingJob &job = queue.jobs[choice.rank.second];
+    std::deque<WaitingTask> &tasks = choice.isLong ? job.longTasks : job.shortTasks;
+    const WaitingTask task = tasks.front();
+    tasks.pop_front();
+    if (tasks.empty()) {
+        (choice.isLong ? choice.team->withLong : choice.team->withShort).erase(choice.rank);
+    }
+    choice.team->virtualTime += static_cast<double>(task.expected.count()) / choice.team->weight;
+    --choice.team->waiting;
+    --queue.waiting;
+    queue.backlog -= task.expected;
+    ++queue.granted;
+    if (job.shortTasks.empty() && job.longTasks.empty()) {
+        queue.jobs.erase(choice.rank.second);
+    }
+    return task;
+}
+
+std::optional<Assignment> Dispatcher::next(std::string_view service, Instant now)
+{
+    const auto found = services_.find(service);
+    if (found == services_.end() || found->second.waiting == 0 || found->second.credits == 0) {
+        return std::nullopt;
+    }
+    ServiceQueue &queue = found->second;
+    if (queue.limit != 0 && queue.granted >= queue.limit) {
+        return std::nullopt;
+    }
+    const Incarnation general = chooseAgent(queue.general, now);
+    const Incarnation shortOnly = chooseAgent(queue.shortOnly, now);
+    if (general == INVALID_INCARNATION && shortOnly == INVALID_INCARNATION) {
+        return std::nullopt;
+    }
+    const auto choice = chooseTask(queue, general != INVALID_INCARNATION);
+    if (!choice) {
+        return std::nullopt;
+    }
+    const bool useShort = !choice->isLong && shortOnly != INVALID_INCARNATION;
+    const Incarnation agent = useShort ? shortOnly : general;
+    const JobSequence job = choice->rank.second;
+    const WaitingTask task = takeTask(queue, *choice);
+
+    AgentState &state = agents_[agent];
+    unlist(queue, agent, state);
+    --(useShort ? state.credits.shortOnly : state.credits.general);
+    list(queue, agent, state);
+    quarantine_.onGrant(agent);
+    return Assignment{job, task.index, agent, choice->isLong, useShort};
+}
+
+absl::btree_map<Incarnation, Credits> Dispatcher::takeIdleCredits(std::string_view service, std::uint32_t wanted)
+{
+    absl::btree_map<Incarnation, Credits> taken;
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return taken;
+    }
+    ServiceQueue &queue = found->second;
+    while (wanted > 0 && queue.credits > 0) {
+        const bool fromGeneral = !queue.general.empty();
+        const Incarnation agent = (fromGeneral ? *queue.general.begin() : *queue.shortOnly.begin()).second;
+        AgentState &state = agents_[agent];
+        std::uint32_t &credits = fromGeneral ? state.credits.general : state.credits.shortOnly;
+        const std::uint32_t amount = std::min(credits, wanted);
+        unlist(queue, agent, state);
+        credits -= amount;
+        list(queue, agent, state);
+        (fromGeneral ? taken[agent].general : taken[agent].shortOnly) += amount;
+        wanted -= amount;
+    }
+    return taken;
+}
+
+void Dispatcher::onTaskEnded(std::string_view service)
+{
+    const auto found = services_.find(service);
+    if (found != services_.end() && found->second.granted > 0) {
+        --found->second.granted;
+    }
+}
+
+void Dispatcher::setConcurrencyLimit(std::string_view service, std::uint32_t limit)
+{
+    services_[std::string(service)].limit = limit;
+}
+
+const Dispatcher::ServiceQueue *Dispatcher::find(std::string_view service) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? nullptr : &found->second;
+}
+
+std::uint32_t Dispatcher::waiting(std::string_view service) const
+{
+    const ServiceQueue *queue = find(service);
+    return queue == nullptr ? 0 : queue->waiting;
+}
+
+std::uint32_t Dispatcher::teamWaiting(std::string_view service, std::string_view team) const
+{
+    const ServiceQueue *queue = find(service);
+    if (queue == nullptr) {
+        return 0;
+    }
+    const auto found = queue->teams.find(team);
+    return found == queue->teams.end() ? 0 : found->second.waiting;
+}
+
+Duration Dispatcher::backlog(std::string_view service) const
+{
+    const ServiceQueue *queue = find(service);
+    return queue == nullptr ? Duration{0} : queue->backlog;
+}
+
+std::uint32_t Dispatcher::idleCredits(std::string_view service) const
+{
+    const ServiceQueue *queue = find(service);
+    return queue == nullptr ? 0 : queue->credits;
+}
+
+std::uint32_t Dispatcher::granted(std::string_view service) const
+{
+    const ServiceQueue *queue = find(service);
+    return queue == nullptr ? 0 : queue->granted;
+}
+
+std::vector<std::string> Dispatcher::servicesWaiting() const
+{
+    std::vector<std::string> services;
+    for (const auto &[name, queue] : services_) {
+        if (queue.waiting > 0) {
+            services.push_back(name);
+        }
+    }
+    return services;
+}
+
+}
--- /dev/null
+++ b/src/home/entry_core.cpp
@@ -0,0 +1,191 @@
+/** @file entry_core.cpp Events of an entry. */
+
+#include "home/entry_core.h"
+
+#include "config/config_func.h"
+#include "core/hash_func.h"
+
+namespace medlarmill
+{
+
+EntryCore::EntryCore(EntrySettings settings, EntryOutput &output)
+    : settings_(std::move(settings))
+    , output_(output)
+    , membership_(settings_.membership)
+    , jobs_(settings_.maxJobs, settings_.maxJobBytes, settings_.membership.retention)
+    , relays_(settings_.maxRelays, settings_.maxRecorded, settings_.membership.retention)
+{ }
+
+std::string EntryCore::notReadyReason() const
+{
+    if (config_.version == INVALID_CONFIG_VERSION) {
+        return "no configuration: neither the platform's table nor another entry has given one yet";
+    }
+    if (membership_.roster().version() == 0) {
+        return "no roster: neither the platform's table nor another entry has given one yet";
+    }
+    if (membership_.wasRemoved()) {
+        return "removed from the roster: the entry starts again under a new incarnation";
+    }
+    return draining_ ? "draining: a planned stop is under way" : "";
+}
+
+bool EntryCore::isStopped() const
+{
+    const bool idle = jobs_.open() == 0 && relays_.open() == 0;
+    return draining_ && idle && !membership_.isMember();
+}
+
+void EntryCore::onConfig(ConfigVersion version, std::string_view text, Instant now)
+{
+    if (version <= config_.version) {
+        return;
+    }
+    absl::StatusOr<Config> config = readAcceptedConfig(text, version);
+    if (!config.ok()) {
+        counters_.add("entry_config_rejected");
+        return;
+    }
+    const Config before = std::move(config_);
+    config_ = *std::move(config);
+    configText_ = text;
+    counters_.add("entry_config_adopted");
+    const auto members = static_cast<std::uint32_t>(std::max(membership_.roster().members_size(), 1));
+    for (const auto &[name, service] : config_.services) {
+        dispatcher_.setConcurrencyLimit(name, (service.concurrencyLimit + members - 1) / members);
+    }
+    for (const auto &[agent, view] : membership_.agents()) {
+        const auto service = config_.services.find(view.service);
+        const auto earlier = before.services.find(view.service);
+        const bool changed
+            = service != config_.services.end() && (earlier == before.services.end() || !(earlier->second == service->second));
+        if (!view.connected || !changed) {
+            continue;
+        }
+        wire::Message message;
+        *message.mutable_service_update() = serviceUpdate(view.service);
+        output_.sendToAgent(agent, std::move(message));
+    }
+    for (const JobSequence sequence : jobs_.awaitingCustody()) {
+        resolveCustody(*jobs_.find(sequence), now);
+    }
+}
+
+void EntryCore::onAgentMessage(Incarnation agent, const wire::Message &message, Instant now)
+{
+    AgentView *view = membership_.findAgent(agent);
+    if (view == nullptr || !view->connected) {
+        return;
+    }
+    view->lastHeard = now;
+    view->suspect = false;
+    switch (message.body_case()) {
+    case wire::Message::kHeartbeat:
+        onHeartbeat(agent, message.heartbeat(), now);
+        break;
+    case wire::Message::kCreditOffer:
+        dispatcher_.addCredits(agent, {message.credit_offer().general(), message.credit_offer().short_only()});
+        pump(view->service, now);
+        break;
+    case wire::Message::kTaskReport:
+        onTaskReport(agent, message.task_report(), now);
+        break;
+    case wire::Message::kFenceReply:
+        membership_.onFenceReply(agent, message.fence_reply());
+        break;
+    case wire::Message::kGoodbye:
+        onGoodbye(agent, message.goodbye(), now);
+        break;
+    default:
+        counters_.add("entry_unexpected_messages");
+        break;
+    }
+}
+
+void EntryCore::onPeerMessage(Incarnation peer, const wire::Message &message, Instant now)
+{
+    membership_.onPeerHeard(peer, now);
+    switch (message.body_case()) {
+    case wire::Message::kForwardJob:
+        counters_.add("entry_forwards_received");
+        route(message.forward_job().job(), {INVALID_CALLER_TOKEN, peer}, message.forward_job().hops(), now);
+        break;
+    case wire::Message::kJobAnswer:
+        onJobAnswer(peer, message.job_answer(), now);
+        break;
+    case wire::Message::kFetchJob:
+        read(RelayKind::Fetch, message.fetch_job().submission_id(), {INVALID_CALLER_TOKEN, peer}, message.fetch_job().hops(), now);
+        break;
+    case wire::Message::kCancelJob:
+        read(RelayKind::Cancel, message.cancel_job().submission_id(), {INVALID_CALLER_TOKEN, peer}, message.cancel_job().hops(), now);
+        break;
+    case wire::Message::kPeerHeartbeat:
+        onPeerHeartbeat(peer, message.peer_heartbeat(), now);
+        break;
+    case wire::Message::kHandoverRequest:
+        onHandoverRequest(peer, message.handover_request(), now);
+        break;
+    case wire::Message::kHandoverReply:
+        for (const wire::HomeAnswers &answers : message.handover_reply().witnessed()) {
+            for (const wire::Answer &answer : answers.answers()) {
+                relays_.record(toIncarnation(answers.home()), answer, now);
+            }
+        }
+        membership_.onHandoverReply(peer, message.handover_reply(), now);
+        break;
+    case wire::Message::kWitnessedRequest:
+        onWitnessedRequest(peer, message.witnessed_request(), now);
+        break;
+    case wire::Message::kWitnessedReply:
+        membership_.onWitnessedReply(peer, message.witnessed_reply());
+        break;
+    case wire::Message::kWitness:
+        onWitness(peer, message.witness(), now);
+        break;
+    case wire::Message::kWitnessAck:
+        onWitnessAck(message.witness_ack(), now);
+        break;
+    case wire::Message::kCreditRequest:
+        onCreditRequest(peer, message.credit_request());
+        break;
+    case wire::Message::kRosterUpdate:
+        adoptRoster(message.roster_update().roster(), now);
+        break;
+    case wire::Message::kConfigUpdate:
+        onConfig(ConfigVersion{message.config_update().version()}, message.config_update().json(), now);
+        break;
+    default:
+        counters_.add("entry_unexpected_messages");
+        break;
+    }
+}
+
+void EntryCore::tick(Instant now)
+{
+    for (const Incarnation agent : membership_.expireAgents(now)) {
+        counters_.add("entry_agents_lost");
+        dispatcher_.removeAgent(agent);
+        loseTasks(agent, now);
+    }
+    for (const auto &[agent, view] : membership_.agents()) {
+        if (view.suspect) {
+            dispatcher_.removeAgent(agent);
+        }
+    }
+    tickJobs(now);
+    tickRelays(now);
+    if (now >= nextHeartbeat_) {
+        nextHeartbeat_ = now + settings_.peerHeartbeat;
+        sendHeartbeats(now);
+    }
+    if (now >= nextResend_) {
+        nextResend_ = now + settings_.resend;
+        sendDueRequests(now);
+    }
+    tickRoster(now);
+    membership_.expireEvidence(now);
+    jobs_.expire(now);
+    relays_.expire(now);
+}
+
+}
--- /dev/null
+++ b/src/home/entry_core.h
@@ -0,0 +1,217 @@
+/** @file entry_core.h Decisions of an entry: homes of submissions, life of jobs, grants, answers. */
+
+#pragma once
+
+#include "config/config_type.h"
+#include "core/counters.h"
+#include "core/name_map_type.h"
+#include "home/dispatcher.h"
+#include "home/entry_output.h"
+#include "home/estimator.h"
+#include "home/job_table.h"
+#include "home/membership.h"
+#include "home/relay_table.h"
+
+#include <absl/container/btree_map.h>
+#include <string>
+#include <string_view>
+
+namespace medlarmill
+{
+
+/** Settings of the entry's decision code. */
+struct EntrySettings
+{
+    MembershipSettings membership; ///< Identity and time limits.
+    std::size_t maxJobs = 200'000; ///< Jobs kept at most, answered ones included.
+    std::size_t maxJobBytes = 64U << 20U; ///< Bytes of inputs and results kept at most.
+    std::size_t maxRelays = 50'000; ///< Forwarded requests at most.
+    std::size_t maxRecorded = 200'000; ///< Answers recorded for other homes at most.
+    Duration peerHeartbeat = Millis(250); ///< Time between heartbeats to another entry.
+    Duration resend = Millis(500); ///< Time between repetitions of an unanswered request to another process.
+    Duration answerGrace = Millis(2'000); ///< A forwarded job is given up so long after its deadline.
+    Duration witnessPatience = Millis(1'000); ///< Time to find a second entry that records an answer.
+    bool admitByEstimate = true; ///< Refuse jobs whose estimated completion lies past their deadline.
+};
+
+/** State machine of one entry. Events go in with the present instant; actions come out through EntryOutput. */
+class EntryCore
+{
+public:
+    /** @param settings checked settings. @param output receiver of the actions; must outlive the core. */
+    EntryCore(EntrySettings settings, EntryOutput &output);
+
+    /** A caller submits a job. @param caller the caller's handle. @param job the body; an empty id is minted. @param now the present. */
+    void submit(CallerToken caller, wire::Job job, Instant now);
+
+    /** A caller asks for an answer. @param caller the caller's handle. @param id the submission. @param now the present. */
+    void fetch(CallerToken caller, const SubmissionId &id, Instant now);
+
+    /** A caller cancels a job. @param caller the caller's handle. @param id the submission. @param now the present. */
+    void cancel(CallerToken caller, const SubmissionId &id, Instant now);
+
+    /** An agent opened a session; an earlier one of the same incarnation is over. @param hello its hello. @param now the present. */
+    void onAgentHello(const wire::AgentHello &hello, Instant now);
+
+    /** The session with an agent broke. @param agent the agent. */
+    void onAgentDisconnected(Incarnation agent);
+
+    /** A message of an agent arrived. @param agent the sender. @param message the message. @param now the present. */
+    void onAgentMessage(Incarnation agent, const wire::Message &message, Instant now);
+
+    /** A session with another entry opened. @param peer the entry. @param now the present. */
+    void onPeerConnected(Incarnation peer, Instant now);
+
+    /** The session with another entry broke. @param peer the entry. */
+    void onPeerDisconnected(Incarnation peer);
+
+    /** A message of another entry arrived. @param peer the sender. @param message the message. @param now the present. */
+    void onPeerMessage(Incarnation peer, const wire::Message &message, Instant now);
+
+    /** The platform's table was read. @param roster the roster there; version 0 when there is none yet. @param now the present. */
+    void onRosterRead(const wire::Roster &roster, Instant now);
+
+    /** The platform's table did not answer a proposal. */
+    void onRosterProposalEnded();
+
+    /** A configuration was accepted. @param version its version. @param text its document. @param now the present. */
+    void onConfig(ConfigVersion version, std::string_view text, Instant now);
+
+    /** Time passed. @param now the present. */
+    void tick(Instant now);
+
+    /** Begins a planned stop. */
+    void startDraining()
+    {
+        draining_ = true;
+    }
+
+    /** @return whether a planned stop has answered everything and left the roster. */
+    bool isStopped() const;
+
+    /** @return why the entry is not ready, empty when it is. */
+    std::string notReadyReason() const;
+
+    /** @return membership view. */
+    const Membership &membership() const
+    {
+        return membership_;
+    }
+
+    /** @return the configuration in force. */
+    const Config &config() const
+    {
+        return config_;
+    }
+
+    /** @return the document of the configuration in force. */
+    const std::string &configText() const
+    {
+        return configText_;
+    }
+
+    /** @return dispatcher view. */
+    const Dispatcher &dispatcher() const
+    {
+        return dispatcher_;
+    }
+
+    /** @return jobs homed here. */
+    const JobTable &jobs() const
+    {
+        return jobs_;
+    }
+
+    /** @return event counters. */
+    const Counters &counters() const
+    {
+        return counters_;
+    }
+
+private:
+    // Jobs at their home (entry_jobs.cpp).
+    void submitAtHome(const wire::Job &body, const Waiter &waiter, Custody custody, Instant now);
+    void joinExisting(Job &job, const wire::Job &body, const Waiter &waiter);
+    Job makeJob(const wire::Job &body, const Waiter &waiter, Instant now) const;
+    void resolveCustody(Job &job, Instant now);
+    void rebuild(Job &job, const Evidence &evidence, Instant now);
+    void admit(Job &job, Instant now);
+    Reason admissionRefusal(const Job &job, Duration *retryAfter) const;
+    Duration expectedOf(const Job &job) const;
+    void enqueue(Job &job, Instant now);
+    void pump(std::string_view service, Instant now);
+    void grant(const Assignment &assignment, Instant now);
+    void requestCredits(const std::string &service, Instant now);
+    void onTaskReport(Incarnation agent, const wire::TaskReport &report, Instant now);
+    void applyReport(Job &job, Task &task, const wire::TaskReport &report, Instant now);
+    void onNotRun(Job &job, Task &task, const wire::TaskReport &report, Instant now);
+    void loseTasks(Incarnation agent, Instant now);
+    void fail(Job &job, Reason reason, std::string detail, Instant now);
+    void complete(Job &job, Instant now);
+    void stopTasks(Job &job, bool stopRunning);
+    void finalize(Job &job, wire::Answer answer, Instant now);
+    void deliver(Job &job, Instant now);
+    void giveUpUnknown(Job &job, Reason reason, Instant now);
+    void cancelJob(Job &job, Instant now);
+    wire::Answer stateOf(const Job &job) const;
+    Job *rebuildFromRecords(const SubmissionId &id, Instant now);
+
+    // Requests of callers and other entries (entry_relay.cpp).
+    void route(const wire::Job &job, const Waiter &waiter, std::uint32_t hops, Instant now);
+    void relay(RelayKind kind, const wire::Job &job, const Waiter &waiter, std::uint32_t hops, Instant now);
+    void sendRelay(const RelayKey &key, Relay &relay, Instant now);
+    void read(RelayKind kind, const SubmissionId &id, const Waiter &waiter, std::uint32_t hops, Instant now);
+    wire::Answer readAtHome(RelayKind kind, const SubmissionId &id, Custody custody, Instant now);
+    void onJobAnswer(Incarnation peer, const wire::JobAnswer &message, Instant now);
+    void answer(const Waiter &waiter, const wire::Answer &answer, bool isFetch);
+    void answerRelay(const Relay &relay, const wire::Answer &answer);
+    void refuseAtDoor(CallerToken caller, const wire::Job &job, Reason reason, std::string detail);
+    Reason checkAgainstConfig(wire::Job &job) const;
+    void tickRelays(Instant now);
+
+    // Other entries and agents (entry_peers.cpp).
+    void onHandoverRequest(Incarnation peer, const wire::HandoverRequest &request, Instant now);
+    void onWitnessedRequest(Incarnation peer, const wire::WitnessedRequest &request, Instant now);
+    void onWitness(Incarnation peer, const wire::Witness &message, Instant now);
+    void onWitnessAck(const wire::WitnessAck &message, Instant now);
+    void onPeerHeartbeat(Incarnation peer, const wire::PeerHeartbeat &heartbeat, Instant now);
+    void onCreditRequest(Incarnation peer, const wire::CreditRequest &request);
+    void onHeartbeat(Incarnation agent, const wire::Heartbeat &heartbeat, Instant now);
+    void onGoodbye(Incarnation agent, const wire::Goodbye &goodbye, Instant now);
+    void queryOutstanding(Incarnation agent);
+    void sendAdmit(Incarnation agent);
+    void sendFences(Incarnation agent);
+    void sendHeartbeats(Instant now);
+    void sendDueRequests(Instant now);
+    void adoptRoster(const wire::Roster &roster, Instant now);
+    void askWitness(Job &job, Instant now);
+    void tickJobs(Instant now);
+    void tickRoster(Instant now);
+    wire::ServiceUpdate serviceUpdate(std::string_view service) const;
+
+    struct Outstanding
+    {
+        JobSequence job{}; ///< The job; it may be answered already.
+        std::string service; ///< Its service.
+    };
+
+    EntrySettings settings_;
+    EntryOutput &output_;
+    Membership membership_;
+    Dispatcher dispatcher_;
+    RunTimeEstimator estimator_;
+    JobTable jobs_;
+    RelayTable relays_;
+    Config config_;
+    std::string configText_;
+    absl::btree_map<Incarnation, absl::btree_map<TaskKey, Outstanding>> outstanding_;
+    NameMap<Instant> nextCreditRequest_;
+    Instant nextHeartbeat_;
+    Instant nextResend_;
+    bool proposing_ = false;
+    bool storeSeen_ = false;
+    bool draining_ = false;
+    Counters counters_;
+};
+
+}
--- /dev/null
+++ b/src/home/entry_jobs.cpp
@@ -0,0 +1,581 @@
+/** @file entry_jobs.cpp Life of a job at its home: admission, grants, results, answer. */
+
+#include "home/entry_core.h"
+
+#include "core/hash_func.h"
+#include "home/roster_func.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace medlarmill
+{
+
+namespace
+{
+
+constexpr Duration CREDIT_REQUEST_INTERVAL = Millis(20); ///< Time between requests for idle credits of one service.
+
+/** Hash of everything in a body that must be equal in a resubmission. */
+std::uint64_t digestOf(const wire::Job &body)
+{
+    std::uint64_t digest = stableHash(body.service());
+    digest = stableHash(body.kind(), digest);
+    digest = stableHash(body.team(), digest);
+    for (const wire::TaskSpec &task : body.tasks()) {
+        digest = stableHash(task.payload(), digest + 1);
+    }
+    return digest;
+}
+
+wire::Answer makeAnswer(const SubmissionId &id, wire::AnswerKind kind, Reason reason, std::string detail = {})
+{
+    wire::Answer answer;
+    answer.set_submission_id(id);
+    answer.set_kind(kind);
+    answer.set_reason(static_cast<std::uint32_t>(reason));
+    answer.set_detail(std::move(detail));
+    return answer;
+}
+
+}
+
+Job EntryCore::makeJob(const wire::Job &body, const Waiter &waiter, Instant now) const
+{
+    Job job;
+    job.id = body.submission_id();
+    job.digest = digestOf(body);
+    job.service = body.service();
+    job.kind = body.kind();
+    job.team = body.team();
+    job.idempotent = body.idempotent();
+    job.deadline = now + Millis(body.deadline_ms());
+    job.taskCount = static_cast<std::uint32_t>(body.tasks_size());
+    job.remaining = job.taskCount;
+    job.waiters.push_back(waiter);
+    job.phaseSince = now;
+    for (const wire::TaskSpec &spec : body.tasks()) {
+        Task &task = job.tasks.emplace_back();
+        task.payload = spec.payload();
+        task.declaredMs = spec.declared_ms();
+        task.expected = estimator_.expected(job.service, job.kind, task.declaredMs);
+    }
+    return job;
+}
+
+void EntryCore::joinExisting(Job &job, const wire::Job &body, const Waiter &waiter)
+{
+    const std::uint64_t digest = digestOf(body);
+    if (job.digest == 0 && job.taskCount == static_cast<std::uint32_t>(body.tasks_size())) {
+        job.digest = digest;
+    }
+    if (job.digest != digest) {
+        counters_.add("entry_requests_invalid", Reason::Conflict);
+        answer(waiter, makeAnswer(job.id, wire::ANSWER_INVALID, Reason::Conflict), false);
+        return;
+    }
+    counters_.add("entry_resubmissions");
+    if (job.phase == JobPhase::Answered) {
+        answer(waiter, job.answer, false);
+        return;
+    }
+    if (std::ranges::find(job.waiters, waiter) == job.waiters.end()) {
+        job.waiters.push_back(waiter);
+    }
+}
+
+void EntryCore::submitAtHome(const wire::Job &body, const Waiter &waiter, Custody custody, Instant now)
+{
+    std::size_t bytes = 0;
+    for (const wire::TaskSpec &task : body.tasks()) {
+        bytes += task.payload().size();
+    }
+    if (custody.kind == CustodyKind::Doubtful) {
+        const Evidence evidence = membership_.evidence(body.submission_id());
+        if (evidence.answer == nullptr) {
+            counters_.add("entry_answers_unknown", Reason::TakeoverIncomplete);
+            answer(waiter, makeAnswer(body.submission_id(), wire::ANSWER_UNKNOWN, Reason::TakeoverIncomplete), false);
+            return;
+        }
+    }
+    if (!jobs_.hasRoom(bytes)) {
+        counters_.add("entry_answers_unknown", Reason::JobTableFull);
+        answer(waiter, makeAnswer(body.submission_id(), wire::ANSWER_UNKNOWN, Reason::JobTableFull), false);
+        return;
+    }
+    Job &job = jobs_.insert(makeJob(body, waiter, now));
+    resolveCustody(job, now);
+}
+
+void EntryCore::resolveCustody(Job &job, Instant now)
+{
+    const Custody custody = membership_.custodyOf(job.id, job.service, now);
+    const Evidence evidence = membership_.evidence(job.id);
+    if (evidence.answer != nullptr && (custody.kind == CustodyKind::Mine || custody.kind == CustodyKind::Doubtful)) {
+        job.answer = *evidence.answer;
+        deliver(job, now);
+        return;
+    }
+    switch (custody.kind) {
+    case CustodyKind::Pending:
+        return;
+    case CustodyKind::Mine:
+        if (evidence.starts.empty()) {
+            admit(job, now);
+        } else {
+            rebuild(job, evidence, now);
+        }
+        return;
+    case CustodyKind::Elsewhere: {
+        wire::Job body;
+        body.set_submission_id(job.id);
+        body.set_service(job.service);
+        body.set_kind(job.kind);
+        body.set_team(job.team);
+        body.set_idempotent(job.idempotent);
+        body.set_deadline_ms(static_cast<std::uint32_t>(toMillis(job.deadline - now)));
+        for (const Task &task : job.tasks) {
+            wire::TaskSpec *spec = body.add_tasks();
+            spec->set_payload(task.payload);
+            spec->set_declared_ms(task.declaredMs);
+        }
+        const std::vector<Waiter> waiters = job.waiters;
+        jobs_.erase(job);
+        for (const Waiter &waiter : waiters) {
+            relay(RelayKind::Submit, body, waiter, 1, now);
+        }
+        return;
+    }
+    default:
+        giveUpUnknown(job, Reason::TakeoverIncomplete, now);
+        return;
+    }
+}
+
+void EntryCore::rebuild(Job &job, const Evidence &evidence, Instant now)
+{
+    counters_.add("entry_jobs_rebuilt");
+    jobs_.setPhase(job, JobPhase::Active, now);
+    const JobSequence sequence = job.sequence;
+    std::vector<std::pair<Incarnation, wire::TaskReport>> reports;
+    for (const CollectedStart &start : evidence.starts) {
+        if (start.report.task_count() != job.taskCount || start.report.index() >= job.taskCount) {
+            job.answer = makeAnswer(job.id, wire::ANSWER_INVALID, Reason::Conflict);
+            const std::vector<Waiter> waiters = job.waiters;
+            const wire::Answer conflict = job.answer;
+            jobs_.erase(job);
+            for (const Waiter &waiter : waiters) {
+                answer(waiter, conflict, false);
+            }
+            return;
+        }
+        Task &task = job.tasks[start.report.index()];
+        if (task.phase != TaskPhase::Waiting) {
+            continue;
+        }
+        task.phase = TaskPhase::Granted;
+        task.agent = start.agent;
+        ++job.started;
+        outstanding_[start.agent][{job.id, TaskIndex{start.report.index()}}] = {job.sequence, job.service};
+        const AgentView *view = membership_.findAgent(start.agent);
+        if (view != nullptr && view->deposited) {
+            reports.emplace_back(start.agent, start.report);
+        } else if (view == nullptr || view->lost) {
+            wire::TaskReport lost = start.report;
+            lost.set_state(wire::TASK_LOST);
+            reports.emplace_back(start.agent, lost);
+        } else {
+            wire::Message message;
+            wire::TaskRef *ref = message.mutable_task_query()->add_tasks();
+            ref->set_submission_id(job.id);
+            ref->set_index(start.report.index());
+            output_.sendToAgent(start.agent, std::move(message));
+        }
+    }
+    enqueue(job, now);
+    for (const auto &[agent, report] : reports) {
+        if (jobs_.find(sequence) != nullptr) {
+            onTaskReport(agent, report, now);
+        }
+    }
+    pump(job.service, now);
+}
+
+Job *EntryCore::rebuildFromRecords(const SubmissionId &id, Instant now)
+{
+    const Evidence evidence = membership_.evidence(id);
+    if (evidence.starts.empty()) {
+        return nullptr;
+    }
+    const std::uint32_t count = evidence.starts.front().report.task_count();
+    const auto isComplete = [](const CollectedStart &start) {
+        return start.report.state() == wire::TASK_COMPLETE;
+    };
+    if (evidence.starts.size() != count || !std::ranges::all_of(evidence.starts, isComplete)) {
+        return nullptr;
+    }
+    Job job;
+    job.id = id;
+    job.taskCount = count;
+    job.remaining = count;
+    job.tasks.resize(count);
+    job.deadline = now + settings_.answerGrace;
+    Job &inserted = jobs_.insert(std::move(job));
+    rebuild(inserted, evidence, now);
+    return jobs_.find(id);
+}
+
+Duration EntryCore::expectedOf(const Job &job) const
+{
+    Duration longest{0};
+    Duration work{0};
+    for (const Task &task : job.tasks) {
+        longest = std::max(longest, task.expected);
+        work += task.expected;
+    }
+    const auto slots = static_cast<std::int64_t>(std::max(membership_.slots(job.service), 1U));
+    return std::max(longest, work / slots);
+}
+
+Reason EntryCore::admissionRefusal(const Job &job, Duration *retryAfter) const
+{
+    const ServiceConfig &service = config_.services.find(job.service)->second;
+    const auto team = config_.teams.find(job.team);
+    const std::uint32_t waiting = dispatcher_.waiting(job.service);
+    const auto slots = static_cast<std::int64_t>(membership_.slots(job.service));
+    const Duration backlog = dispatcher_.backlog(job.service) + membership_.peersBacklog(job.service);
+    *retryAfter = slots == 0 ? settings_.membership.agentLoss : backlog / slots;
+    if (waiting + job.taskCount > service.queueLimit) {
+        return Reason::QueueFull;
+    }
+    if (team != config_.teams.end() && dispatcher_.teamWaiting(job.service, job.team) + job.taskCount > team->second.maxWaiting) {
+        return Reason::TeamQuota;
+    }
+    const bool isLate = slots > 0 && *retryAfter + expectedOf(job) > job.deadline - job.phaseSince;
+    return settings_.admitByEstimate && isLate ? Reason::DeadlineUnreachable : Reason::None;
+}
+
+void EntryCore::admit(Job &job, Instant now)
+{
+    if (!config_.services.contains(job.service)) {
+        fail(job, Reason::UnknownService, job.service, now);
+        return;
+    }
+    Duration retryAfter{0};
+    const Reason refusal = admissionRefusal(job, &retryAfter);
+    if (refusal != Reason::None) {
+        wire::Answer answer = makeAnswer(job.id, wire::ANSWER_REFUSED, refusal);
+        answer.set_retry_after_ms(static_cast<std::uint32_t>(toMillis(retryAfter)));
+        finalize(job, std::move(answer), now);
+        return;
+    }
+    counters_.add("entry_jobs_admitted");
+    jobs_.setPhase(job, JobPhase::Active, now);
+    enqueue(job, now);
+    pump(job.service, now);
+}
+
+void EntryCore::enqueue(Job &job, Instant now)
+{
+    const auto service = config_.services.find(job.service);
+    const Duration longAfter = Millis(service == config_.services.end() ? 0 : service->second.longAfterMs);
+    const auto team = config_.teams.find(job.team);
+    std::vector<WaitingTask> tasks;
+    for (std::uint32_t index = 0; index < job.taskCount; ++index) {
+        const Task &task = job.tasks[index];
+        if (task.phase == TaskPhase::Waiting) {
+            tasks.push_back({TaskIndex{index}, task.expected, task.expected >= longAfter});
+        }
+    }
+    if (tasks.empty()) {
+        return;
+    }
+    const std::uint32_t weight = team == config_.teams.end() ? 1 : team->second.weight;
+    dispatcher_.enqueue(job.service, job.team, weight, job.sequence, std::move(tasks), membership_.slots(job.service), now);
+}
+
+void EntryCore::pump(std::string_view service, Instant now)
+{
+    const std::string name(service);
+    while (const auto assignment = dispatcher_.next(name, now)) {
+        grant(*assignment, now);
+    }
+    if (dispatcher_.waiting(name) > 0 && dispatcher_.idleCredits(name) == 0) {
+        requestCredits(name, now);
+    }
+}
+
+void EntryCore::grant(const Assignment &assignment, Instant now)
+{
+    Job &job = *jobs_.find(assignment.job);
+    Task &task = job.tasks[static_cast<std::uint32_t>(assignment.task)];
+    task.phase = TaskPhase::Granted;
+    task.agent = assignment.agent;
+    ++job.started;
+    outstanding_[assignment.agent][{job.id, assignment.task}] = {job.sequence, job.service};
+
+    wire::Message message;
+    wire::Grant *grant = message.mutable_grant();
+    grant->set_submission_id(job.id);
+    grant->set_index(static_cast<std::uint32_t>(assignment.task));
+    grant->set_task_count(job.taskCount);
+    grant->set_kind(job.kind);
+    grant->set_payload(task.payload);
+    grant->set_stamp(membership_.findAgent(assignment.agent)->stamp);
+    grant->set_time_left_ms(static_cast<std::uint32_t>(toMillis(job.deadline - now)));
+    grant->set_waiting(dispatcher_.waiting(job.service));
+    grant->set_long_task(assignment.isLong);
+    const auto service = config_.services.find(job.service);
+    grant->set_long_after_ms(service == config_.services.end() ? 0 : service->second.longAfterMs);
+    grant->set_short_credit(assignment.usesShortCredit);
+    counters_.add("entry_grants");
+    output_.sendToAgent(assignment.agent, std::move(message));
+}
+
+void EntryCore::requestCredits(const std::string &service, Instant now)
+{
+    Instant &next = nextCreditRequest_[service];
+    if (now < next) {
+        return;
+    }
+    for (const Incarnation peer : membership_.connectedPeers()) {
+        if (membership_.peerBacklog(peer, service) > Duration{0}) {
+            continue;
+        }
+        next = now + CREDIT_REQUEST_INTERVAL;
+        wire::Message message;
+        message.mutable_credit_request()->set_service(service);
+        message.mutable_credit_request()->set_wanted(dispatcher_.waiting(service));
+        counters_.add("entry_credit_requests");
+        output_.sendToPeer(peer, std::move(message));
+    }
+}
+
+void EntryCore::onTaskReport(Incarnation agent, const wire::TaskReport &report, Instant now)
+{
+    if (report.credit()) {
+        dispatcher_.addCredits(agent, {report.credit_short_only() ? 0U : 1U, report.credit_short_only() ? 1U : 0U});
+    }
+    const TaskKey key{report.submission_id(), TaskIndex{report.index()}};
+    auto &tasks = outstanding_[agent];
+    const auto found = tasks.find(key);
+    if (found == tasks.end() || report.state() == wire::TASK_RUNNING) {
+        if (const AgentView *view = membership_.findAgent(agent)) {
+            pump(view->service, now);
+        }
+        return;
+    }
+    const Outstanding outstanding = found->second;
+    tasks.erase(found);
+    dispatcher_.onTaskEnded(outstanding.service);
+    const bool ran = report.state() != wire::TASK_NOT_RUN;
+    const bool absent = report.reason() == static_cast<std::uint32_t>(Reason::EndpointAbsent);
+    if ((ran || absent) && dispatcher_.quarantine().onOutcome(agent, report.state() == wire::TASK_COMPLETE, now)) {
+        counters_.add("entry_quarantine_changes");
+    }
+    Job *job = jobs_.find(outstanding.job);
+    if (job != nullptr && job->phase == JobPhase::Active) {
+        applyReport(*job, job->tasks[report.index()], report, now);
+    }
+    pump(outstanding.service, now);
+}
+
+void EntryCore::applyReport(Job &job, Task &task, const wire::TaskReport &report, Instant now)
+{
+    switch (report.state()) {
+    case wire::TASK_COMPLETE:
+        estimator_.learn(job.service, job.kind, task.declaredMs, Millis(report.run_ms()));
+        task.phase = TaskPhase::Done;
+        task.result = report.payload();
+        task.payload.clear();
+        jobs_.addBytes(task.result.size());
+        --job.remaining;
+        if (job.remaining == 0) {
+            complete(job, now);
+        }
+        return;
+    case wire::TASK_NOT_RUN:
+        onNotRun(job, task, report, now);
+        return;
+    case wire::TASK_LOST:
+        fail(job, Reason::EndpointLost, fmt::format("task {}", report.index()), now);
+        return;
+    default:
+        fail(job, report.reason() == 0 ? Reason::TaskFailed : static_cast<Reason>(report.reason()),
+             fmt::format("task {}: {}", report.index(), report.payload()), now);
+        return;
+    }
+}
+
+void EntryCore::onNotRun(Job &job, Task &task, const wire::TaskReport &report, Instant now)
+{
+    counters_.add("entry_retries", static_cast<Reason>(report.reason()));
+    task.phase = TaskPhase::Waiting;
+    task.agent = INVALID_INCARNATION;
+    --job.started;
+    ++task.refusals;
+    const auto service = config_.services.find(job.service);
+    if (service != config_.services.end() && task.refusals > service->second.grantRetries) {
+        fail(job, Reason::RetryBudgetSpent, fmt::format("task {}", report.index()), now);
+        return;
+    }
+    const bool isLong = service != config_.services.end() && task.expected >= Millis(service->second.longAfterMs);
+    const auto team = config_.teams.find(job.team);
+    const std::uint32_t weight = team == config_.teams.end() ? 1 : team->second.weight;
+    std::vector<WaitingTask> tasks{{TaskIndex{report.index()}, task.expected, isLong}};
+    dispatcher_.enqueue(job.service, job.team, weight, job.sequence, std::move(tasks), membership_.slots(job.service), now);
+}
+
+void EntryCore::loseTasks(Incarnation agent, Instant now)
+{
+    const auto found = outstanding_.find(agent);
+    if (found == outstanding_.end()) {
+        return;
+    }
+    std::vector<wire::TaskReport> reports;
+    for (const auto &[key, outstanding] : found->second) {
+        wire::TaskReport &report = reports.emplace_back();
+        report.set_submission_id(key.submission);
+        report.set_index(static_cast<std::uint32_t>(key.index));
+        report.set_state(wire::TASK_LOST);
+    }
+    for (const wire::TaskReport &report : reports) {
+        onTaskReport(agent, report, now);
+    }
+}
+
+void EntryCore::stopTasks(Job &job, bool stopRunning)
+{
+    dispatcher_.cancel(job.service, job.sequence);
+    if (!stopRunning) {
+        return;
+    }
+    absl::btree_map<Incarnation, wire::Message> messages;
+    for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+        const Task &task = job.tasks[index];
+        if (task.phase != TaskPhase::Granted) {
+            continue;
+        }
+        wire::TaskRef *ref = messages[task.agent].mutable_task_cancel()->add_tasks();
+        ref->set_submission_id(job.id);
+        ref->set_index(index);
+    }
+    for (auto &[agent, message] : messages) {
+        output_.sendToAgent(agent, std::move(message));
+    }
+}
+
+void EntryCore::fail(Job &job, Reason reason, std::string detail, Instant now)
+{
+    const bool neverStarted = job.started == 0;
+    if (neverStarted && reason == Reason::Cancelled) {
+        reason = Reason::CancelledBeforeStart;
+    }
+    if (neverStarted && reason == Reason::DeadlinePassed) {
+        reason = Reason::DeadlineBeforeStart;
+    }
+    // A running task of a non-idempotent job is left to finish: stopping it half-way may do more harm than its cost.
+    const bool stopRunning = reason == Reason::Cancelled || job.idempotent;
+    stopTasks(job, stopRunning);
+    finalize(job, makeAnswer(job.id, neverStarted ? wire::ANSWER_REFUSED : wire::ANSWER_FAILED, reason, std::move(detail)), now);
+}
+
+void EntryCore::complete(Job &job, Instant now)
+{
+    wire::Answer answer = makeAnswer(job.id, wire::ANSWER_COMPLETE, Reason::None);
+    for (Task &task : job.tasks) {
+        answer.add_results(std::move(task.result));
+    }
+    job.answer = std::move(answer);
+    deliver(job, now);
+}
+
+void EntryCore::finalize(Job &job, wire::Answer answer, Instant now)
+{
+    job.answer = std::move(answer);
+    const bool isMinted = mintedHome(job.id) == settings_.membership.incarnation;
+    const bool isAlone = membership_.otherMembers().empty();
+    if (isMinted || (isAlone && membership_.isMember())) {
+        deliver(job, now);
+        return;
+    }
+    jobs_.setPhase(job, JobPhase::AwaitingWitness, now);
+    askWitness(job, now);
+}
+
+void EntryCore::deliver(Job &job, Instant now)
+{
+    switch (job.answer.kind()) {
+    case wire::ANSWER_COMPLETE:
+        counters_.add("entry_answers_complete");
+        break;
+    case wire::ANSWER_REFUSED:
+        counters_.add("entry_answers_refused", static_cast<Reason>(job.answer.reason()));
+        break;
+    default:
+        counters_.add("entry_answers_failed", static_cast<Reason>(job.answer.reason()));
+        break;
+    }
+    const std::vector<Waiter> waiters = std::move(job.waiters);
+    jobs_.setAnswered(job, now);
+    for (const Waiter &waiter : waiters) {
+        answer(waiter, job.answer, false);
+    }
+}
+
+void EntryCore::giveUpUnknown(Job &job, Reason reason, Instant now)
+{
+    counters_.add("entry_answers_unknown", reason);
+    const wire::Answer unknown = makeAnswer(job.id, wire::ANSWER_UNKNOWN, reason);
+    const std::vector<Waiter> waiters = std::move(job.waiters);
+    job.waiters.clear();
+    if (job.phase == JobPhase::AwaitingCustody) {
+        jobs_.erase(job);
+    } else {
+        job.witnessRetryAt = now + settings_.resend;
+    }
+    for (const Waiter &waiter : waiters) {
+        answer(waiter, unknown, false);
+    }
+}
+
+void EntryCore::cancelJob(Job &job, Instant now)
+{
+    if (job.phase == JobPhase::Active) {
+        fail(job, Reason::Cancelled, {}, now);
+    }
+}
+
+wire::Answer EntryCore::stateOf(const Job &job) const
+{
+    return job.phase == JobPhase::Answered ? job.answer : makeAnswer(job.id, wire::ANSWER_PENDING, Reason::None);
+}
+
+void EntryCore::tickJobs(Instant now)
+{
+    for (const JobSequence sequence : jobs_.awaitingCustody()) {
+        resolveCustody(*jobs_.find(sequence), now);
+    }
+    for (const JobSequence sequence : jobs_.overdue(now)) {
+        Job *job = jobs_.find(sequence);
+        if (job->phase == JobPhase::AwaitingCustody) {
+            giveUpUnknown(*job, Reason::TakeoverIncomplete, now);
+        } else if (job->phase == JobPhase::Active) {
+            fail(*job, Reason::DeadlinePassed, {}, now);
+        }
+    }
+    for (const JobSequence sequence : jobs_.awaitingWitness()) {
+        Job &job = *jobs_.find(sequence);
+        if (!job.waiters.empty() && now >= job.phaseSince + settings_.witnessPatience) {
+            giveUpUnknown(job, Reason::WitnessMissing, now);
+        }
+        if (now >= job.witnessRetryAt) {
+            askWitness(job, now);
+        }
+    }
+    for (const std::string &service : dispatcher_.servicesWaiting()) {
+        pump(service, now);
+    }
+}
+
+}
--- /dev/null
+++ b/src/home/relay_table.cpp
@@ -0,0 +1,115 @@
+/** @file relay_table.cpp Forwarded requests and recorded answers. */
+
+#include "home/relay_table.h"
+
+#include <algorithm>
+
+namespace medlarmill
+{
+
+RelayTable::RelayTable(std::size_t maxRelays, std::size_t maxRecorded, Duration retention)
+    : maxRelays_(maxRelays)
+    , maxRecorded_(maxRecorded)
+    , retention_(retention)
+{ }
+
+Relay *RelayTable::add(const RelayKey &key, Relay relay)
+{
+    const auto found = relays_.find(key);
+    if (found != relays_.end()) {
+        for (const Waiter &waiter : relay.waiters) {
+            if (std::ranges::find(found->second.waiters, waiter) == found->second.waiters.end()) {
+                found->second.waiters.push_back(waiter);
+            }
+        }
+        return &found->second;
+    }
+    if (relays_.size() >= maxRelays_) {
+        return nullptr;
+    }
+    return &relays_.emplace(key, std::move(relay)).first->second;
+}
+
+Relay RelayTable::take(const RelayKey &key)
+{
+    const auto found = relays_.find(key);
+    if (found == relays_.end()) {
+        return {};
+    }
+    Relay relay = std::move(found->second);
+    relays_.erase(found);
+    return relay;
+}
+
+std::vector<RelayKey> RelayTable::due(Instant now) const
+{
+    std::vector<RelayKey> due;
+    for (const auto &[key, relay] : relays_) {
+        if (now >= relay.retryAt) {
+            due.push_back(key);
+        }
+    }
+    return due;
+}
+
+Relay *RelayTable::find(const RelayKey &key)
+{
+    const auto found = relays_.find(key);
+    return found == relays_.end() ? nullptr : &found->second;
+}
+
+void RelayTable::hurry(Instant now)
+{
+    for (auto &[key, relay] : relays_) {
+        relay.retryAt = now;
+    }
+}
+
+bool RelayTable::record(Incarnation home, const wire::Answer &answer, Instant now)
+{
+    if (expiries_.size() >= maxRecorded_) {
+        return false;
+    }
+    if (recorded_[home].emplace(answer.submission_id(), answer).second) {
+        expiries_.push_back({now + retention_, home, answer.submission_id()});
+    }
+    return true;
+}
+
+std::vector<wire::Answer> RelayTable::recorded(Incarnation home) const
+{
+    std::vector<wire::Answer> answers;
+    const auto found = recorded_.find(home);
+    if (found == recorded_.end()) {
+        return answers;
+    }
+    for (const auto &[id, answer] : found->second) {
+        answers.push_back(answer);
+    }
+    return answers;
+}
+
+std::vector<Incarnation> RelayTable::recordedHomes() const
+{
+    std::vector<Incarnation> homes;
+    for (const auto &[home, answers] : recorded_) {
+        homes.push_back(home);
+    }
+    return homes;
+}
+
+void RelayTable::expire(Instant now)
+{
+    while (!expiries_.empty() && expiries_.front().at <= now) {
+        const auto home = recorded_.find(expiries_.front().home);
+        if (home != recorded_.end()) {
+            home->second.erase(expiries_.front().id);
+            if (home->second.empty()) {
+                recorded_.erase(home);
+            }
+        }
+        expiries_.pop_front();
+    }
+}
+
+}
--- /dev/null
+++ b/src/home/relay_table.h
@@ -0,0 +1,102 @@
+/** @file relay_table.h Requests that this entry forwarded to their home, and answers it recorded for other homes. */
+
+#pragma once
+
+#include "home/job_type.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace medlarmill
+{
+
+/** What a forwarded request wants. */
+enum class RelayKind : std::uint8_t {
+    Submit, ///< Run a job.
+    Fetch, ///< Read an answer.
+    Cancel, ///< Cancel a job.
+};
+
+/** A request that was forwarded to the home of its submission. */
+struct Relay
+{
+    RelayKind kind = RelayKind::Submit; ///< What is wanted.
+    wire::Job job; ///< The body, for Submit; otherwise only the id.
+    std::vector<Waiter> waiters; ///< Who gets the answer.
+    Instant deadline; ///< Deadline of the job.
+    Instant retryAt; ///< When it is sent again without an answer.
+    Incarnation sentTo = INVALID_INCARNATION; ///< Entry it was last sent to.
+    std::uint32_t hops = 0; ///< Entries it has passed.
+};
+
+/** Key of a forwarded request; submissions and reads of one id are separate. */
+struct RelayKey
+{
+    SubmissionId id; ///< The submission.
+    RelayKind kind = RelayKind::Submit; ///< What is wanted.
+
+    auto operator<=>(const RelayKey &) const = default;
+};
+
+/** Bounded table of forwarded requests and of answers recorded for other homes. */
+class RelayTable
+{
+public:
+    /** @param maxRelays most forwarded requests. @param maxRecorded most recorded answers. @param retention how long an answer is kept. */
+    RelayTable(std::size_t maxRelays, std::size_t maxRecorded, Duration retention);
+
+    /** Adds a request, or its waiters to the same request. @param key its key. @param relay the request. @return the request, or nullptr
+     * when the table is full. */
+    Relay *add(const RelayKey &key, Relay relay);
+
+    /** Takes a request out. @param key its key. @return the request; without waiters when there was none. */
+    Relay take(const RelayKey &key);
+
+    /** @param now the present. @return requests to send again or to give up. */
+    std::vector<RelayKey> due(Instant now) const;
+
+    /** @param key its key. @return the request, or nullptr. */
+    Relay *find(const RelayKey &key);
+
+    /** Makes every request due, after a change of the roster. @param now the present. */
+    void hurry(Instant now);
+
+    /** Records an answer for its home. @param home the home. @param answer the answer. @param now the present. @return false when the table
+     * is full. */
+    bool record(Incarnation home, const wire::Answer &answer, Instant now);
+
+    /** @param home a home. @return the answers recorded for it. */
+    std::vector<wire::Answer> recorded(Incarnation home) const;
+
+    /** @return every home with recorded answers. */
+    std::vector<Incarnation> recordedHomes() const;
+
+    /** Forgets answers past their retention. @param now the present. */
+    void expire(Instant now);
+
+    /** @return forwarded requests without an answer. */
+    std::size_t open() const
+    {
+        return relays_.size();
+    }
+
+private:
+    struct Expiry
+    {
+        Instant at; ///< End of the retention.
+        Incarnation home = INVALID_INCARNATION; ///< The home.
+        SubmissionId id; ///< The submission.
+    };
+
+    std::size_t maxRelays_;
+    std::size_t maxRecorded_;
+    Duration retention_;
+    absl::btree_map<RelayKey, Relay> relays_;
+    absl::btree_map<Incarnation, absl::btree_map<SubmissionId, wire::Answer>> recorded_;
+    std::deque<Expiry> expiries_;
+};
+
+}
--- /dev/null
+++ b/src/home/takeover.cpp
@@ -0,0 +1,58 @@
+/** @file takeover.cpp Evidence about the submissions of a removed entry. */
+
+#include "home/takeover.h"
+
+namespace medlarmill
+{
+
+Takeover::Takeover(bool coversAll, bool certain, Instant startedAt)
+    : coversAll_(coversAll)
+    , certain_(certain)
+    , startedAt_(startedAt)
+{ }
+
+void Takeover::expectWitness(Incarnation member)
+{
+    missingWitnesses_.insert(member);
+}
+
+void Takeover::onWitnessLost(Incarnation member)
+{
+    witnessLost_ = missingWitnesses_.erase(member) > 0 || witnessLost_;
+}
+
+void Takeover::onWitnessed(Incarnation member, const wire::WitnessedReply &reply)
+{
+    if (missingWitnesses_.erase(member) == 0) {
+        return;
+    }
+    for (const wire::Answer &answer : reply.answers()) {
+        answers_.emplace(answer.submission_id(), answer);
+    }
+}
+
+void Takeover::onRecords(Incarnation agent, const google::protobuf::RepeatedPtrField<wire::TaskReport> &records)
+{
+    if (!accounted_.insert(agent).second) {
+        return;
+    }
+    for (const wire::TaskReport &record : records) {
+        starts_[record.submission_id()].push_back({agent, record});
+    }
+}
+
+Evidence Takeover::evidence(const SubmissionId &id) const
+{
+    Evidence evidence;
+    const auto answer = answers_.find(id);
+    if (answer != answers_.end()) {
+        evidence.answer = &answer->second;
+    }
+    const auto starts = starts_.find(id);
+    if (starts != starts_.end()) {
+        evidence.starts = starts->second;
+    }
+    return evidence;
+}
+
+}
