--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,198 @@
+/** @file server.cpp HTTP/1.1 server by Boost.Beast. */
+
+#include "http/server.h"
+
+#include "net/address.h"
+
+#include <boost/beast/core.hpp>
+#include <fmt/format.h>
+#include <optional>
+
+namespace medlarmill
+{
+
+namespace
+{
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+/** One connection: reads a request, waits for its answer, writes it, reads the next. */
+class HttpSession : public std::enable_shared_from_this<HttpSession>
+{
+public:
+    HttpSession(boost::asio::ip::tcp::socket socket, HttpHandler &handler, const HttpLimits &limits,
+                std::shared_ptr<std::size_t> connections)
+        : stream_(std::move(socket))
+        , handler_(handler)
+        , limits_(limits)
+        , connections_(std::move(connections))
+    {
+        ++*connections_;
+    }
+
+    ~HttpSession()
+    {
+        --*connections_;
+    }
+
+    HttpSession(const HttpSession &) = delete;
+    HttpSession &operator=(const HttpSession &) = delete;
+
+    void read()
+    {
+        parser_.emplace();
+        parser_->body_limit(limits_.maxBodyBytes);
+        parser_->header_limit(limits_.maxHeaderBytes);
+        stream_.expires_after(limits_.readTimeout);
+        http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](beast::error_code error, std::size_t) {
+            self->onRead(error);
+        });
+    }
+
+private:
+    void onRead(beast::error_code error)
+    {
+        if (error == http::error::body_limit || error == http::error::header_limit) {
+            refuse(
+                413,
+                fmt::format(R"({{"kind":"invalid","reason":"too_large","remedy":"send at most {} bytes of headers and {} bytes of body"}})",
+                            limits_.maxHeaderBytes, limits_.maxBodyBytes));
+            return;
+        }
+        const bool isHttpError = error && error.category() == http::make_error_code(http::error::bad_method).category();
+        if (isHttpError && error != http::error::end_of_stream && error != http::error::partial_message) {
+            refuse(400, R"({"kind":"invalid","reason":"malformed","remedy":"send a valid HTTP/1.1 request"})");
+            return;
+        }
+        if (error) {
+            close();
+            return;
+        }
+        stream_.expires_never();
+        keepAlive_ = parser_->get().keep_alive();
+        handler_.handle(parser_->release(), [weak = weak_from_this()](HttpResponse response) {
+            if (const auto self = weak.lock()) {
+                self->write(std::move(response));
+            }
+        });
+        watch();
+    }
+
+    /** Keeps the session alive while its answer is due, and notices a caller that has gone. */
+    void watch()
+    {
+        stream_.socket().async_wait(boost::asio::ip::tcp::socket::wait_error, [self = shared_from_this()](beast::error_code) {});
+    }
+
+    void refuse(unsigned status, std::string body)
+    {
+        keepAlive_ = false;
+        write(jsonResponse(status, std::move(body)));
+    }
+
+    void write(HttpResponse response)
+    {
+        response_ = std::move(response);
+        response_.keep_alive(keepAlive_);
+        response_.prepare_payload();
+        stream_.expires_after(limits_.readTimeout);
+        http::async_write(stream_, response_, [self = shared_from_this()](beast::error_code error, std::size_t) {
+            boost::system::error_code ignored;
+            self->stream_.socket().cancel(ignored);
+            if (error || !self->keepAlive_) {
+                self->close();
+                return;
+            }
+            self->read();
+        });
+    }
+
+    void close()
+    {
+        beast::error_code ignored;
+        stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+        stream_.close();
+    }
+
+    beast::tcp_stream stream_;
+    HttpHandler &handler_;
+    HttpLimits limits_;
+    std::shared_ptr<std::size_t> connections_;
+    beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    HttpResponse response_;
+    bool keepAlive_ = false;
+};
+
+}
+
+HttpServer::HttpServer(boost::asio::io_context &context, HttpHandler &handler, HttpLimits limits)
+    : acceptor_(context)
+    , handler_(handler)
+    , limits_(limits)
+    , connections_(std::make_shared<std::size_t>(0))
+{ }
+
+absl::Status HttpServer::listen(const boost::asio::ip::tcp::endpoint &address)
+{
+    boost::system::error_code error;
+    acceptor_.open(address.protocol(), error);
+    if (!error) {
+        acceptor_.set_option(boost::asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor_.bind(address, error);
+    }
+    if (!error) {
+        acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return absl::UnavailableError(
+            fmt::format("cannot listen on {}: {}; choose a free address", formatAddress(address), error.message()));
+    }
+    accept();
+    return absl::OkStatus();
+}
+
+void HttpServer::stopAccepting()
+{
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+}
+
+void HttpServer::accept()
+{
+    acceptor_.async_accept([this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted || !acceptor_.is_open()) {
+            return;
+        }
+        if (!error && *connections_ < limits_.maxConnections) {
+            boost::system::error_code ignored;
+            socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+            std::make_shared<HttpSession>(std::move(socket), handler_, limits_, connections_)->read();
+        }
+        accept();
+    });
+}
+
+HttpResponse jsonResponse(unsigned status, std::string body)
+{
+    HttpResponse response;
+    response.result(status);
+    response.set(http::field::content_type, "application/json");
+    response.body() = std::move(body);
+    response.body() += '\n';
+    return response;
+}
+
+HttpResponse textResponse(unsigned status, std::string body)
+{
+    HttpResponse response;
+    response.result(status);
+    response.set(http::field::content_type, "text/plain; version=0.0.4");
+    response.body() = std::move(body);
+    return response;
+}
+
+}
--- /dev/null
+++ b/src/net/outbox.h
@@ -0,0 +1,97 @@
+/** @file outbox.h Collects the messages of one turn, so that all messages for one receiver travel in one frame. */
+
+#pragma once
+
+#include "net/link_hub.h"
+
+#include <absl/container/btree_map.h>
+#include <memory>
+#include <vector>
+
+namespace medlarmill
+{
+
+/** Messages that wait for the end of the turn of the decision thread. */
+class Outbox
+{
+public:
+    /** @param hub the link thread. */
+    explicit Outbox(LinkHub &hub)
+        : hub_(hub)
+    { }
+
+    /** Adds a message. @param receiver the other process. @param message the message. */
+    void add(Incarnation receiver, wire::Message message)
+    {
+        pending_[receiver].push_back(std::move(message));
+    }
+
+    /** Closes and reopens a dialed connection. @param receiver the other process. */
+    void reset(Incarnation receiver)
+    {
+        auto command = std::make_unique<LinkCommand>();
+        command->kind = LinkCommandKind::Reset;
+        command->receiver = receiver;
+        queue_.push_back(std::move(command));
+    }
+
+    /** Replaces the addresses to dial. @param targets the addresses. */
+    void setTargets(std::vector<std::string> targets)
+    {
+        auto command = std::make_unique<LinkCommand>();
+        command->kind = LinkCommandKind::SetTargets;
+        command->targets = std::move(targets);
+        queue_.push_back(std::move(command));
+    }
+
+    /** Hands everything to the link thread. @return false when the ring is full and something is left; the caller takes no new events until
+     * it is gone. */
+    bool flush()
+    {
+        for (auto &[receiver, messages] : pending_) {
+            auto command = std::make_unique<LinkCommand>();
+            command->receiver = receiver;
+            frames_ += 1;
+            messages_ += messages.size();
+            command->messages = std::move(messages);
+            queue_.push_back(std::move(command));
+        }
+        pending_.clear();
+        while (!queue_.empty()) {
+            if (!hub_.command(queue_.front())) {
+                ++fullRings_;
+                return false;
+            }
+            queue_.pop_front();
+        }
+        return true;
+    }
+
+    /** @return frames sent. */
+    std::uint64_t frames() const
+    {
+        return frames_;
+    }
+
+    /** @return messages sent. */
+    std::uint64_t messages() const
+    {
+        return messages_;
+    }
+
+    /** @return times the ring was full. */
+    std::uint64_t fullRings() const
+    {
+        return fullRings_;
+    }
+
+private:
+    LinkHub &hub_;
+    absl::btree_map<Incarnation, std::vector<wire::Message>> pending_;
+    std::deque<std::unique_ptr<LinkCommand>> queue_;
+    std::uint64_t frames_ = 0;
+    std::uint64_t messages_ = 0;
+    std::uint64_t fullRings_ = 0;
+};
+
+}
