--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -187,6 +187,7 @@
     record.home = entry;
     record.reporter = entry;
     record.taskCount = grant.task_count();
+    record.digest = grant.digest();
     record.startedAt = now;
     record.isLong = grant.long_task();
     record.longAfter = grant.long_after_ms() == 0 ? NEVER : now + Millis(grant.long_after_ms());
@@ -219,6 +220,7 @@
     report->set_reason(static_cast<std::uint32_t>(record.reason));
     report->set_run_ms(record.runMs);
     report->set_task_count(record.taskCount);
+    report->set_digest(record.digest);
     report->set_credit(credit);
     report->set_credit_short_only(shortOnly);
     output_.sendToEntry(entry, std::move(message));
--- a/src/agent/agent_type.h
+++ b/src/agent/agent_type.h
@@ -39,6 +39,7 @@
     Reason reason = Reason::None; ///< Why the task failed.
     std::string payload; ///< Result bytes.
     std::uint32_t taskCount = 0; ///< Tasks of the whole job.
+    std::uint64_t digest = 0; ///< Hash of the job's body.
     std::uint32_t runMs = 0; ///< Run time in milliseconds.
     Instant startedAt; ///< When the task was started.
     Instant longAfter = NEVER; ///< When the task counts as long.
--- a/src/agent/record_table.cpp
+++ b/src/agent/record_table.cpp
@@ -81,6 +81,7 @@
         report.set_index(static_cast<std::uint32_t>(key.index));
         report.set_state(record.state);
         report.set_task_count(record.taskCount);
+        report.set_digest(record.digest);
     }
     std::ranges::sort(reports, {}, [](const wire::TaskReport &report) {
         return std::tuple(std::string_view(report.submission_id()), report.index());
--- a/src/home/entry_core.cpp
+++ b/src/home/entry_core.cpp
@@ -3,7 +3,7 @@
 #include "home/entry_core.h"
 
 #include "config/config_func.h"
-#include "core/hash_func.h"
+#include "home/job_func.h"
 
 namespace medlarmill
 {
@@ -38,17 +38,29 @@
 
 void EntryCore::onConfig(ConfigVersion version, std::string_view text, Instant now)
 {
-    if (version <= config_.version) {
+    if (version <= learnedVersion_) {
         return;
     }
-    absl::StatusOr<Config> config = readAcceptedConfig(text, version);
+    const absl::StatusOr<Config> config = readAcceptedConfig(text, version);
     if (!config.ok()) {
         counters_.add("entry_config_rejected");
         return;
     }
+    learnedVersion_ = version;
+    learnedText_ = text;
+    sendHeartbeats(now);
+    activateConfig(now);
+}
+
+void EntryCore::activateConfig(Instant now)
+{
+    if (learnedVersion_ <= config_.version || !membership_.haveAllHeardConfig(learnedVersion_, now)) {
+        return;
+    }
+    absl::StatusOr<Config> config = readAcceptedConfig(learnedText_, learnedVersion_);
     const Config before = std::move(config_);
     config_ = *std::move(config);
-    configText_ = text;
+    configText_ = learnedText_;
     counters_.add("entry_config_adopted");
     const auto members = static_cast<std::uint32_t>(std::max(membership_.roster().members_size(), 1));
     for (const auto &[name, service] : config_.services) {
@@ -108,16 +120,17 @@
     switch (message.body_case()) {
     case wire::Message::kForwardJob:
         counters_.add("entry_forwards_received");
-        route(message.forward_job().job(), {INVALID_CALLER_TOKEN, peer}, message.forward_job().hops(), now);
+        route(message.forward_job().job(), {INVALID_CALLER_TOKEN, peer, digestOf(message.forward_job().job())},
+              message.forward_job().hops(), now);
         break;
     case wire::Message::kJobAnswer:
         onJobAnswer(peer, message.job_answer(), now);
         break;
     case wire::Message::kFetchJob:
-        read(RelayKind::Fetch, message.fetch_job().submission_id(), {INVALID_CALLER_TOKEN, peer}, message.fetch_job().hops(), now);
+        read(RelayKind::Fetch, message.fetch_job().submission_id(), {INVALID_CALLER_TOKEN, peer, 0}, message.fetch_job().hops(), now);
         break;
     case wire::Message::kCancelJob:
-        read(RelayKind::Cancel, message.cancel_job().submission_id(), {INVALID_CALLER_TOKEN, peer}, message.cancel_job().hops(), now);
+        read(RelayKind::Cancel, message.cancel_job().submission_id(), {INVALID_CALLER_TOKEN, peer, 0}, message.cancel_job().hops(), now);
         break;
     case wire::Message::kPeerHeartbeat:
         onPeerHeartbeat(peer, message.peer_heartbeat(), now);
@@ -183,6 +196,7 @@
         sendDueRequests(now);
     }
     tickRoster(now);
+    activateConfig(now);
     membership_.expireEvidence(now);
     jobs_.expire(now);
     relays_.expire(now);
--- a/src/home/entry_core.h
+++ b/src/home/entry_core.h
@@ -74,7 +74,9 @@
     /** The platform's table did not answer a proposal. */
     void onRosterProposalEnded();
 
-    /** A configuration was accepted. @param version its version. @param text its document. @param now the present. */
+    /** A configuration was accepted. It comes into force when every member that is heard has it too, so that an entry that starts again
+     * during an outage of the store learns at least this version from the others. @param version its version. @param text its document.
+     * @param now the present. */
     void onConfig(ConfigVersion version, std::string_view text, Instant now);
 
     /** Time passed. @param now the present. */
@@ -133,6 +135,8 @@
     void submitAtHome(const wire::Job &body, const Waiter &waiter, Custody custody, Instant now);
     void joinExisting(Job &job, const wire::Job &body, const Waiter &waiter);
     Job makeJob(const wire::Job &body, const Waiter &waiter, Instant now) const;
+    static bool contradicts(const Job &job, const Evidence &evidence);
+    void refuseConflict(Job &job);
     void resolveCustody(Job &job, Instant now);
     void rebuild(Job &job, const Evidence &evidence, Instant now);
     void admit(Job &job, Instant now);
@@ -187,6 +191,7 @@
     void askWitness(Job &job, Instant now);
     void tickJobs(Instant now);
     void tickRoster(Instant now);
+    void activateConfig(Instant now);
     wire::ServiceUpdate serviceUpdate(std::string_view service) const;
 
     struct Outstanding
@@ -204,6 +209,8 @@
     RelayTable relays_;
     Config config_;
     std::string configText_;
+    ConfigVersion learnedVersion_ = INVALID_CONFIG_VERSION; ///< Newest accepted configuration; in force once all members heard have it.
+    std::string learnedText_;
     absl::btree_map<Incarnation, absl::btree_map<TaskKey, Outstanding>> outstanding_;
     NameMap<Instant> nextCreditRequest_;
     Instant nextHeartbeat_;
--- a/src/home/entry_jobs.cpp
+++ b/src/home/entry_jobs.cpp
@@ -3,6 +3,7 @@
 #include "home/entry_core.h"
 
 #include "core/hash_func.h"
+#include "home/job_func.h"
 #include "home/roster_func.h"
 
 #include <algorithm>
@@ -16,28 +17,6 @@
 
 constexpr Duration CREDIT_REQUEST_INTERVAL = Millis(20); ///< Time between requests for idle credits of one service.
 
-/** Hash of everything in a body that must be equal in a resubmission. */
-std::uint64_t digestOf(const wire::Job &body)
-{
-    std::uint64_t digest = stableHash(body.service());
-    digest = stableHash(body.kind(), digest);
-    digest = stableHash(body.team(), digest);
-    for (const wire::TaskSpec &task : body.tasks()) {
-        digest = stableHash(task.payload(), digest + 1);
-    }
-    return digest;
-}
-
-wire::Answer makeAnswer(const SubmissionId &id, wire::AnswerKind kind, Reason reason, std::string detail = {})
-{
-    wire::Answer answer;
-    answer.set_submission_id(id);
-    answer.set_kind(kind);
-    answer.set_reason(static_cast<std::uint32_t>(reason));
-    answer.set_detail(std::move(detail));
-    return answer;
-}
-
 }
 
 Job EntryCore::makeJob(const wire::Job &body, const Waiter &waiter, Instant now) const
@@ -65,11 +44,7 @@
 
 void EntryCore::joinExisting(Job &job, const wire::Job &body, const Waiter &waiter)
 {
-    const std::uint64_t digest = digestOf(body);
-    if (job.digest == 0 && job.taskCount == static_cast<std::uint32_t>(body.tasks_size())) {
-        job.digest = digest;
-    }
-    if (job.digest != digest) {
+    if (job.digest != digestOf(body)) {
         counters_.add("entry_requests_invalid", Reason::Conflict);
         answer(waiter, makeAnswer(job.id, wire::ANSWER_INVALID, Reason::Conflict), false);
         return;
@@ -107,10 +82,33 @@
     resolveCustody(job, now);
 }
 
+bool EntryCore::contradicts(const Job &job, const Evidence &evidence)
+{
+    const bool isOther = evidence.answer != nullptr && evidence.answer->digest() != job.digest;
+    return isOther || std::ranges::any_of(evidence.starts, [&job](const CollectedStart &start) {
+               return start.report.digest() != job.digest || start.report.index() >= job.taskCount;
+           });
+}
+
+void EntryCore::refuseConflict(Job &job)
+{
+    counters_.add("entry_requests_invalid", Reason::Conflict);
+    const wire::Answer conflict = makeAnswer(job.id, wire::ANSWER_INVALID, Reason::Conflict);
+    const std::vector<Waiter> waiters = job.waiters;
+    jobs_.erase(job);
+    for (const Waiter &waiter : waiters) {
+        answer(waiter, conflict, false);
+    }
+}
+
 void EntryCore::resolveCustody(Job &job, Instant now)
 {
     const Custody custody = membership_.custodyOf(job.id, job.service, now);
     const Evidence evidence = membership_.evidence(job.id);
+    if (contradicts(job, evidence)) {
+        refuseConflict(job);
+        return;
+    }
     if (evidence.answer != nullptr && (custody.kind == CustodyKind::Mine || custody.kind == CustodyKind::Doubtful)) {
         job.answer = *evidence.answer;
         deliver(job, now);
@@ -159,16 +157,6 @@
     const JobSequence sequence = job.sequence;
     std::vector<std::pair<Incarnation, wire::TaskReport>> reports;
     for (const CollectedStart &start : evidence.starts) {
-        if (start.report.task_count() != job.taskCount || start.report.index() >= job.taskCount) {
-            job.answer = makeAnswer(job.id, wire::ANSWER_INVALID, Reason::Conflict);
-            const std::vector<Waiter> waiters = job.waiters;
-            const wire::Answer conflict = job.answer;
-            jobs_.erase(job);
-            for (const Waiter &waiter : waiters) {
-                answer(waiter, conflict, false);
-            }
-            return;
-        }
         Task &task = job.tasks[start.report.index()];
         if (task.phase != TaskPhase::Waiting) {
             continue;
@@ -216,6 +204,7 @@
     }
     Job job;
     job.id = id;
+    job.digest = evidence.starts.front().report.digest();
     job.taskCount = count;
     job.remaining = count;
     job.tasks.resize(count);
@@ -319,6 +308,7 @@
     grant->set_submission_id(job.id);
     grant->set_index(static_cast<std::uint32_t>(assignment.task));
     grant->set_task_count(job.taskCount);
+    grant->set_digest(job.digest);
     grant->set_kind(job.kind);
     grant->set_payload(task.payload);
     grant->set_stamp(membership_.findAgent(assignment.agent)->stamp);
@@ -493,6 +483,7 @@
 void EntryCore::finalize(Job &job, wire::Answer answer, Instant now)
 {
     job.answer = std::move(answer);
+    job.answer.set_digest(job.digest);
     const bool isMinted = mintedHome(job.id) == settings_.membership.incarnation;
     const bool isAlone = membership_.otherMembers().empty();
     if (isMinted || (isAlone && membership_.isMember())) {
@@ -505,6 +496,7 @@
 
 void EntryCore::deliver(Job &job, Instant now)
 {
+    job.answer.set_digest(job.digest);
     switch (job.answer.kind()) {
     case wire::ANSWER_COMPLETE:
         counters_.add("entry_answers_complete");
--- a/src/home/entry_peers.cpp
+++ b/src/home/entry_peers.cpp
@@ -3,6 +3,7 @@
 #include "home/entry_core.h"
 
 #include "config/config_func.h"
+#include "core/hash_func.h"
 #include "home/roster_func.h"
 
 namespace medlarmill
@@ -95,10 +96,8 @@
 
 void EntryCore::onGoodbye(Incarnation agent, const wire::Goodbye &goodbye, Instant now)
 {
+    // Records of every home count: this entry may have taken over a job that another home started.
     for (const wire::HomeRecords &records : goodbye.homes()) {
-        if (records.home() != toWire(settings_.membership.incarnation)) {
-            continue;
-        }
         for (const wire::TaskReport &report : records.records()) {
             onTaskReport(agent, report, now);
         }
@@ -145,12 +144,13 @@
         *message.mutable_roster_update()->mutable_roster() = membership_.roster();
         output_.sendToPeer(peer, std::move(message));
     }
-    if (heartbeat.config_version() < static_cast<std::uint64_t>(config_.version)) {
+    if (heartbeat.config_version() < static_cast<std::uint64_t>(learnedVersion_)) {
         wire::Message message;
-        message.mutable_config_update()->set_version(static_cast<std::uint64_t>(config_.version));
-        message.mutable_config_update()->set_json(configText_);
+        message.mutable_config_update()->set_version(static_cast<std::uint64_t>(learnedVersion_));
+        message.mutable_config_update()->set_json(learnedText_);
         output_.sendToPeer(peer, std::move(message));
     }
+    activateConfig(now);
     if (now >= nextResend_) {
         sendDueRequests(now);
     }
@@ -161,7 +161,7 @@
     wire::Message message;
     wire::PeerHeartbeat *heartbeat = message.mutable_peer_heartbeat();
     heartbeat->set_roster_version(membership_.roster().version());
-    heartbeat->set_config_version(static_cast<std::uint64_t>(config_.version));
+    heartbeat->set_config_version(static_cast<std::uint64_t>(learnedVersion_));
     for (const Incarnation heard : membership_.heardMembers(now)) {
         heartbeat->add_hears(toWire(heard));
     }
@@ -233,9 +233,12 @@
     wire::Message message;
     wire::HandoverReply *reply = message.mutable_handover_reply();
     membership_.describe(*reply);
-    const bool isLeaving = draining_;
+    const Incarnation self = settings_.membership.incarnation;
+    const wire::RosterMember *row = findMember(membership_.roster(), self);
+    const bool isLeaving = draining_ || (row != nullptr && row->leaving());
+    // The peer may become home of any id that it outscores this entry on, also when other members are lost later.
     for (const SubmissionId &id : jobs_.ids()) {
-        if (rendezvousHome(membership_.roster(), id) == peer) {
+        if (isLeaving || homeScore(id, peer) > homeScore(id, self)) {
             reply->add_known_ids(id);
         }
     }
--- a/src/home/entry_relay.cpp
+++ b/src/home/entry_relay.cpp
@@ -3,6 +3,7 @@
 #include "home/entry_core.h"
 
 #include "core/hash_func.h"
+#include "home/job_func.h"
 #include "home/roster_func.h"
 
 namespace medlarmill
@@ -13,16 +14,6 @@
 
 constexpr std::uint32_t MAX_HOPS = 4; ///< Entries a request may pass.
 
-wire::Answer makeAnswer(const SubmissionId &id, wire::AnswerKind kind, Reason reason, std::string detail = {})
-{
-    wire::Answer answer;
-    answer.set_submission_id(id);
-    answer.set_kind(kind);
-    answer.set_reason(static_cast<std::uint32_t>(reason));
-    answer.set_detail(std::move(detail));
-    return answer;
-}
-
 }
 
 void EntryCore::answer(const Waiter &waiter, const wire::Answer &answer, bool isFetch)
@@ -34,6 +25,7 @@
     wire::Message message;
     *message.mutable_job_answer()->mutable_answer() = answer;
     message.mutable_job_answer()->set_is_fetch(isFetch);
+    message.mutable_job_answer()->set_digest(waiter.digest);
     output_.sendToPeer(waiter.peer, std::move(message));
 }
 
@@ -91,7 +83,7 @@
         }
         job.set_submission_id(mintSubmissionId(home, output_.random()));
     }
-    route(job, {caller, INVALID_INCARNATION}, 0, now);
+    route(job, {caller, INVALID_INCARNATION, 0}, 0, now);
 }
 
 void EntryCore::route(const wire::Job &job, const Waiter &waiter, std::uint32_t hops, Instant now)
@@ -119,7 +111,7 @@
 
 void EntryCore::relay(RelayKind kind, const wire::Job &job, const Waiter &waiter, std::uint32_t hops, Instant now)
 {
-    const RelayKey key{job.submission_id(), kind};
+    const RelayKey key{job.submission_id(), kind, kind == RelayKind::Submit ? digestOf(job) : 0};
     if (hops >= MAX_HOPS) {
         answer(waiter, makeAnswer(job.submission_id(), wire::ANSWER_UNKNOWN, Reason::HomeUnreachable), kind != RelayKind::Submit);
         return;
@@ -225,22 +217,22 @@
         relays_.record(peer, answer, now);
     }
     if (!message.is_fetch()) {
-        answerRelay(relays_.take({answer.submission_id(), RelayKind::Submit}), answer);
+        answerRelay(relays_.take({answer.submission_id(), RelayKind::Submit, message.digest()}), answer);
         return;
     }
-    answerRelay(relays_.take({answer.submission_id(), RelayKind::Fetch}), answer);
-    answerRelay(relays_.take({answer.submission_id(), RelayKind::Cancel}), answer);
+    answerRelay(relays_.take({answer.submission_id(), RelayKind::Fetch, 0}), answer);
+    answerRelay(relays_.take({answer.submission_id(), RelayKind::Cancel, 0}), answer);
 }
 
 void EntryCore::fetch(CallerToken caller, const SubmissionId &id, Instant now)
 {
-    read(RelayKind::Fetch, id, {caller, INVALID_INCARNATION}, 0, now);
+    read(RelayKind::Fetch, id, {caller, INVALID_INCARNATION, 0}, 0, now);
 }
 
 void EntryCore::cancel(CallerToken caller, const SubmissionId &id, Instant now)
 {
     counters_.add("entry_cancels");
-    read(RelayKind::Cancel, id, {caller, INVALID_INCARNATION}, 0, now);
+    read(RelayKind::Cancel, id, {caller, INVALID_INCARNATION, 0}, 0, now);
 }
 
 void EntryCore::read(RelayKind kind, const SubmissionId &id, const Waiter &waiter, std::uint32_t hops, Instant now)
--- a/src/home/job_type.h
+++ b/src/home/job_type.h
@@ -22,6 +22,7 @@
 {
     CallerToken caller = INVALID_CALLER_TOKEN; ///< A local caller, or invalid.
     Incarnation peer = INVALID_INCARNATION; ///< The entry that forwarded the job, or invalid.
+    std::uint64_t digest = 0; ///< Hash of the body that the entry forwarded; 0 for reads.
 
     bool operator==(const Waiter &) const = default;
 };
--- a/src/home/membership.cpp
+++ b/src/home/membership.cpp
@@ -247,6 +247,7 @@
 void Membership::onPeerHeartbeat(Incarnation peer, const wire::PeerHeartbeat &heartbeat, Instant now)
 {
     PeerView &view = peers_[peer];
+    view.configVersion = std::max(view.configVersion, ConfigVersion{heartbeat.config_version()});
     view.hears.clear();
     for (const std::uint64_t heard : heartbeat.hears()) {
         view.hears.insert(toIncarnation(heard));
@@ -624,6 +625,13 @@
     return now >= lastProof + 2 * settings_.peerSilence;
 }
 
+bool Membership::haveAllHeardConfig(ConfigVersion version, Instant now) const
+{
+    return std::ranges::all_of(heardMembers(now), [&](Incarnation member) {
+        return peers_.find(member)->second.configVersion >= version;
+    });
+}
+
 Duration Membership::peerBacklog(Incarnation peer, std::string_view service) const
 {
     const auto found = peers_.find(peer);
--- a/src/home/membership.h
+++ b/src/home/membership.h
@@ -186,6 +186,10 @@
     /** @param peer a connected entry. @param now the present. @return whether it is heard but has not heard this entry for long. */
     bool isDeafTo(Incarnation peer, Instant now) const;
 
+    /** @param version a configuration. @param now the present. @return whether every member that is heard has said that it has the version.
+     */
+    bool haveAllHeardConfig(ConfigVersion version, Instant now) const;
+
     /** @param peer another entry. @param service a service. @return expected run time of the tasks waiting there. */
     Duration peerBacklog(Incarnation peer, std::string_view service) const;
 
@@ -212,6 +216,7 @@
         Instant lastHeard; ///< Last message.
         Instant connectedSince; ///< When the session opened.
         Instant hearsSelfUntil; ///< Last heartbeat that said that it hears this entry.
+        ConfigVersion configVersion = INVALID_CONFIG_VERSION; ///< Newest configuration it has.
         absl::btree_set<Incarnation> hears; ///< Members it hears.
         NameMap<Duration> backlog; ///< Work waiting there by service.
     };
--- a/src/home/relay_table.h
+++ b/src/home/relay_table.h
@@ -37,6 +37,7 @@
 {
     SubmissionId id; ///< The submission.
     RelayKind kind = RelayKind::Submit; ///< What is wanted.
+    std::uint64_t digest = 0; ///< Hash of the body for Submit: another body under the same id is another request.
 
     auto operator<=>(const RelayKey &) const = default;
 };
--- a/src/home/takeover.cpp
+++ b/src/home/takeover.cpp
@@ -2,6 +2,8 @@
 
 #include "home/takeover.h"
 
+#include <algorithm>
+
 namespace medlarmill
 {
 
@@ -33,11 +35,17 @@
 
 void Takeover::onRecords(Incarnation agent, const google::protobuf::RepeatedPtrField<wire::TaskReport> &records)
 {
-    if (!accounted_.insert(agent).second) {
-        return;
-    }
+    accounted_.insert(agent);
     for (const wire::TaskReport &record : records) {
-        starts_[record.submission_id()].push_back({agent, record});
+        std::vector<CollectedStart> &starts = starts_[record.submission_id()];
+        const auto known = std::ranges::find_if(starts, [&](const CollectedStart &start) {
+            return start.agent == agent && start.report.index() == record.index();
+        });
+        if (known == starts.end()) {
+            starts.push_back({agent, record});
+        } else {
+            known->report = record; // An agent that leaves repeats its records, with their results.
+        }
     }
 }
 
--- a/src/home/takeover.h
+++ b/src/home/takeover.h
@@ -83,7 +83,8 @@
     /** A witness answered. @param member the entry. @param reply its answers. */
     void onWitnessed(Incarnation member, const wire::WitnessedReply &reply);
 
-    /** An agent fenced the removed entry and reported its records, or left them behind. @param agent the agent. @param records the records.
+    /** An agent fenced the removed entry and reported its records, or left them behind; later reports replace earlier ones. @param agent
+     * the agent. @param records the records.
      */
     void onRecords(Incarnation agent, const google::protobuf::RepeatedPtrField<wire::TaskReport> &records);
 
