Fix: Configuration after a restart, own witnessed answers

Cause, by the fuzzer: (6) an entry that had a new configuration in force alone, died and started again took an older one from another entry before it had read the table; (7) a successor that was itself the witness of a lost home's answer did not look at its own record and gave another answer. Change: a configuration comes into force once every member that is heard has it, and a starting entry gives the table 3 s before it takes a configuration of the others; evidence includes the answers recorded here.

--- a/src/home/entry_core.cpp
+++ b/src/home/entry_core.cpp
@@ -54,7 +54,9 @@
 
 void EntryCore::activateConfig(Instant now)
 {
-    if (learnedVersion_ <= config_.version || !membership_.haveAllHeardConfig(learnedVersion_, now)) {
+    // The table may have a newer version than the others, and this entry may have had it in force before it started again.
+    const bool mayAct = storeSeen_ || (startedAt_ != NEVER && now >= startedAt_ + settings_.storePatience);
+    if (!mayAct || learnedVersion_ <= config_.version || !membership_.haveAllHeardConfig(learnedVersion_, now)) {
         return;
     }
     absl::StatusOr<Config> config = readAcceptedConfig(learnedText_, learnedVersion_);
@@ -175,6 +177,7 @@
 
 void EntryCore::tick(Instant now)
 {
+    startedAt_ = std::min(startedAt_, now);
     for (const Incarnation agent : membership_.expireAgents(now)) {
         counters_.add("entry_agents_lost");
         dispatcher_.removeAgent(agent);
--- a/src/home/entry_core.h
+++ b/src/home/entry_core.h
@@ -30,6 +30,7 @@
     Duration peerHeartbeat = Millis(250); ///< Time between heartbeats to another entry.
     Duration resend = Millis(500); ///< Time between repetitions of an unanswered request to another process.
     Duration answerGrace = Millis(2'000); ///< A forwarded job is given up so long after its deadline.
+    Duration storePatience = Millis(3'000); ///< A starting entry waits so long for the table before it takes a configuration of the others.
     Duration witnessPatience = Millis(1'000); ///< Time to find a second entry that records an answer.
     bool admitByEstimate = true; ///< Refuse jobs whose estimated completion lies past their deadline.
 };
@@ -135,6 +136,7 @@
     void submitAtHome(const wire::Job &body, const Waiter &waiter, Custody custody, Instant now);
     void joinExisting(Job &job, const wire::Job &body, const Waiter &waiter);
     Job makeJob(const wire::Job &body, const Waiter &waiter, Instant now) const;
+    Evidence evidenceOf(const SubmissionId &id) const;
     static bool contradicts(const Job &job, const Evidence &evidence);
     void refuseConflict(Job &job);
     void resolveCustody(Job &job, Instant now);
@@ -213,6 +215,7 @@
     std::string learnedText_;
     absl::btree_map<Incarnation, absl::btree_map<TaskKey, Outstanding>> outstanding_;
     NameMap<Instant> nextCreditRequest_;
+    Instant startedAt_ = NEVER;
     Instant nextHeartbeat_;
     Instant nextResend_;
     bool proposing_ = false;
--- a/src/home/entry_jobs.cpp
+++ b/src/home/entry_jobs.cpp
@@ -66,7 +66,7 @@
         bytes += task.payload().size();
     }
     if (custody.kind == CustodyKind::Doubtful) {
-        const Evidence evidence = membership_.evidence(body.submission_id());
+        const Evidence evidence = evidenceOf(body.submission_id());
         if (evidence.answer == nullptr) {
             counters_.add("entry_answers_unknown", Reason::TakeoverIncomplete);
             answer(waiter, makeAnswer(body.submission_id(), wire::ANSWER_UNKNOWN, Reason::TakeoverIncomplete), false);
@@ -82,6 +82,15 @@
     resolveCustody(job, now);
 }
 
+Evidence EntryCore::evidenceOf(const SubmissionId &id) const
+{
+    Evidence evidence = membership_.evidence(id);
+    if (evidence.answer == nullptr) {
+        evidence.answer = relays_.findRecorded(id); // This entry itself may be the witness.
+    }
+    return evidence;
+}
+
 bool EntryCore::contradicts(const Job &job, const Evidence &evidence)
 {
     const bool isOther = evidence.answer != nullptr && evidence.answer->digest() != job.digest;
@@ -104,7 +113,7 @@
 void EntryCore::resolveCustody(Job &job, Instant now)
 {
     const Custody custody = membership_.custodyOf(job.id, job.service, now);
-    const Evidence evidence = membership_.evidence(job.id);
+    const Evidence evidence = evidenceOf(job.id);
     if (contradicts(job, evidence)) {
         refuseConflict(job);
         return;
--- a/src/home/entry_relay.cpp
+++ b/src/home/entry_relay.cpp
@@ -256,7 +256,7 @@
 
 wire::Answer EntryCore::readAtHome(RelayKind kind, const SubmissionId &id, Custody custody, Instant now)
 {
-    const Evidence evidence = membership_.evidence(id);
+    const Evidence evidence = evidenceOf(id);
     if (evidence.answer != nullptr) {
         return *evidence.answer;
     }
--- a/src/home/relay_table.cpp
+++ b/src/home/relay_table.cpp
@@ -89,6 +89,17 @@
     return answers;
 }
 
+const wire::Answer *RelayTable::findRecorded(const SubmissionId &id) const
+{
+    for (const auto &[home, answers] : recorded_) {
+        const auto found = answers.find(id);
+        if (found != answers.end()) {
+            return &found->second;
+        }
+    }
+    return nullptr;
+}
+
 std::vector<Incarnation> RelayTable::recordedHomes() const
 {
     std::vector<Incarnation> homes;
--- a/src/home/relay_table.h
+++ b/src/home/relay_table.h
@@ -72,6 +72,9 @@
     /** @param home a home. @return the answers recorded for it. */
     std::vector<wire::Answer> recorded(Incarnation home) const;
 
+    /** @param id a submission. @return the answer recorded for any home, or nullptr. */
+    const wire::Answer *findRecorded(const SubmissionId &id) const;
+
     /** @return every home with recorded answers. */
     std::vector<Incarnation> recordedHomes() const;
 
--- a/tests/fuzz/fuzz_test.cpp
+++ b/tests/fuzz/fuzz_test.cpp
@@ -247,3 +247,40 @@
     std::cout << '\n';
     CHECK(held);
 }
+
+TEST_CASE("deliberately broken variants are caught")
+{
+    struct Variant
+    {
+        Mutation mutation;
+        const char *name;
+    };
+    static constexpr Variant VARIANTS[] = {
+        {Mutation::NoFence, "no fence"},
+        {Mutation::ReusedIncarnation, "reused incarnation"},
+        {Mutation::RefusalAfterGrant, "refusal after a grant"},
+        {Mutation::RestartOnSilence, "restart on a silent connection"},
+        {Mutation::OldConfigAfterRestart, "older configuration after a restart"},
+        {Mutation::CrossedAnswer, "answer crossed"},
+    };
+    constexpr std::size_t MAX_RUNS = 3'000;
+    constexpr int LENGTH = 120;
+    for (const Variant &variant : VARIANTS) {
+        std::size_t steps = 0;
+        std::size_t runs = 0;
+        bool caught = false;
+        std::string why;
+        for (; runs < MAX_RUNS && !caught; ++runs) {
+            const auto trace = rc::gen::container<std::vector<Step>>(LENGTH, genStep())(rc::Random(runs + 1), rc::kNominalSize).value();
+            const auto failed = run(trace, variant.mutation, false, nullptr, &why);
+            caught = failed.has_value();
+            std::string unmodified;
+            // The trace must tell the variant from the real code.
+            CHECK_MESSAGE((!caught || !run(trace, Mutation::None, false, nullptr, &unmodified)), unmodified);
+            steps += failed.value_or(trace.size());
+        }
+        std::cout << "variant \"" << variant.name << "\": " << (caught ? "caught" : "missed") << " after " << runs << " runs, " << steps
+                  << " steps: " << why << '\n';
+        CHECK_MESSAGE(caught, variant.name);
+    }
+}
