--- a/src/agent/record_table.cpp
+++ b/src/agent/record_table.cpp
@@ -32,7 +32,7 @@
     return found == records_.end() ? nullptr : &found->second;
 }
 
-void RecordTable::insert(const TaskKey &key, StartRecord record)
+void RecordTable::insert(const TaskKey &key, StartRecord &&record)
 {
     records_.emplace(key, std::move(record));
 }
--- a/src/agent/record_table.h
+++ b/src/agent/record_table.h
@@ -28,7 +28,7 @@
     const StartRecord *find(const TaskKey &key) const;
 
     /** Records a start. @param key the task. @param record the evidence. @pre hasRoom() and the key has no record. */
-    void insert(const TaskKey &key, StartRecord record);
+    void insert(const TaskKey &key, StartRecord &&record);
 
     /** Stores the outcome of a running task. @param key the task. @param outcome its outcome. @param now the present. @return the record.
      */
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -286,6 +286,7 @@
     writeGauge("entry_config_version", static_cast<double>(core_.config().version), text);
     writeGauge("entry_roster_version", static_cast<double>(core_.membership().roster().version()), text);
     writeGauge("entry_frames_sent", static_cast<double>(outbox_.frames()), text);
+    writeGauge("entry_work_frames_sent", static_cast<double>(outbox_.workFrames()), text);
     writeGauge("entry_messages_sent", static_cast<double>(outbox_.messages()), text);
     writeGauge("entry_ring_full", static_cast<double>(outbox_.fullRings() + gateway_.refused()), text);
     writeGauge("entry_slow_receivers", static_cast<double>(hub_.slowReceivers()), text);
--- a/src/home/entry_jobs.cpp
+++ b/src/home/entry_jobs.cpp
@@ -17,6 +17,15 @@
 
 constexpr Duration CREDIT_REQUEST_INTERVAL = Millis(20); ///< Time between requests for idle credits of one service.
 
+/** Whether every task was complete when its agent reported: then the lost home may have answered so. */
+bool isAllComplete(const Evidence &evidence, std::uint32_t taskCount)
+{
+    const auto isComplete = [](const CollectedStart &start) {
+        return start.report.state() == wire::TASK_COMPLETE;
+    };
+    return evidence.starts.size() == taskCount && std::ranges::all_of(evidence.starts, isComplete);
+}
+
 }
 
 Job EntryCore::makeJob(const wire::Job &body, const Waiter &waiter, Instant now) const
@@ -164,6 +173,8 @@
     counters_.add("entry_jobs_rebuilt");
     jobs_.setPhase(job, JobPhase::Active, now);
     const JobSequence sequence = job.sequence;
+    const std::string service = job.service; // The job may be gone once its reports are applied.
+    job.mayBeComplete = isAllComplete(evidence, job.taskCount);
     std::vector<std::pair<Incarnation, wire::TaskReport>> reports;
     for (const CollectedStart &start : evidence.starts) {
         Task &task = job.tasks[start.report.index()];
@@ -195,7 +206,7 @@
             onTaskReport(agent, report, now);
         }
     }
-    pump(job.service, now);
+    pump(service, now);
 }
 
 Job *EntryCore::rebuildFromRecords(const SubmissionId &id, Instant now)
@@ -205,10 +216,7 @@
         return nullptr;
     }
     const std::uint32_t count = evidence.starts.front().report.task_count();
-    const auto isComplete = [](const CollectedStart &start) {
-        return start.report.state() == wire::TASK_COMPLETE;
-    };
-    if (evidence.starts.size() != count || !std::ranges::all_of(evidence.starts, isComplete)) {
+    if (!isAllComplete(evidence, count)) {
         return nullptr;
     }
     Job job;
@@ -466,6 +474,11 @@
 
 void EntryCore::fail(Job &job, Reason reason, std::string detail, Instant now)
 {
+    if (job.mayBeComplete) {
+        dispatcher_.cancel(job.service, job.sequence);
+        giveUpUnknown(job, Reason::TakeoverIncomplete, now);
+        return;
+    }
     const bool neverStarted = job.started == 0;
     if (neverStarted && reason == Reason::Cancelled) {
         reason = Reason::CancelledBeforeStart;
@@ -530,7 +543,7 @@
     const wire::Answer unknown = makeAnswer(job.id, wire::ANSWER_UNKNOWN, reason);
     const std::vector<Waiter> waiters = std::move(job.waiters);
     job.waiters.clear();
-    if (job.phase == JobPhase::AwaitingCustody) {
+    if (job.phase != JobPhase::AwaitingWitness) {
         jobs_.erase(job);
     } else {
         job.witnessRetryAt = now + settings_.resend;
--- a/src/home/job_type.h
+++ b/src/home/job_type.h
@@ -69,6 +69,7 @@
     std::uint32_t taskCount = 0; ///< Number of tasks.
     std::uint32_t remaining = 0; ///< Tasks that are not done.
     std::uint32_t started = 0; ///< Tasks that are or may have been started.
+    bool mayBeComplete = false; ///< A lost home may have answered it as complete, so it cannot be failed here.
     JobPhase phase = JobPhase::AwaitingCustody; ///< Where it is.
     std::vector<Waiter> waiters; ///< Who gets the answer.
     wire::Answer answer; ///< Valid from AwaitingWitness on.
--- a/src/net/outbox.h
+++ b/src/net/outbox.h
@@ -5,6 +5,8 @@
 #include "net/link_hub.h"
 
 #include <absl/container/btree_map.h>
+#include <algorithm>
+#include <deque>
 #include <memory>
 #include <vector>
 
@@ -53,6 +55,7 @@
             command->receiver = receiver;
             frames_ += 1;
             messages_ += messages.size();
+            workFrames_ += std::ranges::all_of(messages, isControl) ? 0 : 1;
             command->messages = std::move(messages);
             queue_.push_back(std::move(command));
         }
@@ -73,6 +76,12 @@
         return frames_;
     }
 
+    /** @return frames sent that carry more than heartbeats. */
+    std::uint64_t workFrames() const
+    {
+        return workFrames_;
+    }
+
     /** @return messages sent. */
     std::uint64_t messages() const
     {
@@ -86,10 +95,16 @@
     }
 
 private:
+    static bool isControl(const wire::Message &message)
+    {
+        return message.has_heartbeat() || message.has_heartbeat_ack() || message.has_peer_heartbeat();
+    }
+
     LinkHub &hub_;
     absl::btree_map<Incarnation, std::vector<wire::Message>> pending_;
     std::deque<std::unique_ptr<LinkCommand>> queue_;
     std::uint64_t frames_ = 0;
+    std::uint64_t workFrames_ = 0;
     std::uint64_t messages_ = 0;
     std::uint64_t fullRings_ = 0;
 };
