Change: Slots follow the most urgent job across entries

Cause: each entry ordered its own queue, so a small job waited at one entry while slots went back to a large job at another. Change: a request for credits carries the rank of the sender's most urgent job; an entry passes a freed slot on when that job is more urgent by 100 ms than its own; ranks follow the remaining work and weigh it 16 times.

--- a/src/home/dispatcher.cpp
+++ b/src/home/dispatcher.cpp
@@ -11,7 +11,7 @@
 {
 
 constexpr std::uint32_t LOCAL_ZONE_BONUS = 1U << 20U; ///< Raises agents of the same availability zone above all others.
-constexpr std::int64_t WORK_FACTOR = 4; ///< A job waits behind later arrivals for up to so many times its own expected duration.
+constexpr std::int64_t WORK_FACTOR = 16; ///< A job waits behind later arrivals for up to so many times its own expected duration.
 
 }
 
@@ -73,6 +73,9 @@
 void Dispatcher::enqueue(std::string_view service, std::string_view team, std::uint32_t weight, JobSequence job,
                          std::vector<WaitingTask> tasks, std::uint32_t slots, Instant now)
 {
+    if (tasks.empty()) {
+        return;
+    }
     ServiceQueue &queue = services_[std::string(service)];
     TeamQueue &teamQueue = queue.teams[std::string(team)];
     if (teamQueue.waiting == 0) {
@@ -95,20 +98,53 @@
     }
     if (isNew) {
         waitingJob.team = team;
-        waitingJob.rank = {now.time_since_epoch().count() + WORK_FACTOR * work.count() / std::max(slots, 1U), job};
-    }
-    if (!waitingJob.shortTasks.empty()) {
-        teamQueue.withShort.insert(waitingJob.rank);
-    }
-    if (!waitingJob.longTasks.empty()) {
-        teamQueue.withLong.insert(waitingJob.rank);
+        waitingJob.arrival = now.time_since_epoch().count();
+        waitingJob.slots = std::max(slots, 1U);
     }
+    waitingJob.remaining += work;
+    relist(teamQueue, waitingJob, job);
     const auto count = static_cast<std::uint32_t>(tasks.size());
     teamQueue.waiting += count;
     queue.waiting += count;
     queue.backlog += work;
 }
 
+std::int64_t Dispatcher::rankTime(const WaitingJob &job)
+{
+    return job.arrival + WORK_FACTOR * job.remaining.count() / job.slots;
+}
+
+void Dispatcher::relist(TeamQueue &team, WaitingJob &job, JobSequence sequence)
+{
+    team.withShort.erase(job.rank);
+    team.withLong.erase(job.rank);
+    job.rank = {rankTime(job), sequence};
+    if (!job.shortTasks.empty()) {
+        team.withShort.insert(job.rank);
+    }
+    if (!job.longTasks.empty()) {
+        team.withLong.insert(job.rank);
+    }
+}
+
+std::optional<Instant> Dispatcher::headRank(std::string_view service) const
+{
+    const ServiceQueue *queue = find(service);
+    std::optional<Instant> best;
+    if (queue == nullptr) {
+        return best;
+    }
+    for (const auto &[name, team] : queue->teams) {
+        for (const auto *jobs : {&team.withShort, &team.withLong}) {
+            if (!jobs->empty()) {
+                const Instant rank{Duration(jobs->begin()->first)};
+                best = best ? std::min(*best, rank) : rank;
+            }
+        }
+    }
+    return best;
+}
+
 void Dispatcher::cancel(std::string_view service, JobSequence job)
 {
     const auto found = services_.find(service);
@@ -167,9 +203,8 @@
     std::deque<WaitingTask> &tasks = choice.isLong ? job.longTasks : job.shortTasks;
     const WaitingTask task = tasks.front();
     tasks.pop_front();
-    if (tasks.empty()) {
-        (choice.isLong ? choice.team->withLong : choice.team->withShort).erase(choice.rank);
-    }
+    job.remaining -= task.expected;
+    relist(*choice.team, job, choice.rank.second);
     choice.team->virtualTime += static_cast<double>(task.expected.count()) / choice.team->weight;
     --choice.team->waiting;
     --queue.waiting;
--- a/src/home/dispatcher.h
+++ b/src/home/dispatcher.h
@@ -42,8 +42,8 @@
 
 /**
  * Late binding: tasks wait here until an agent has a free slot. Within a service, teams share by weighted fair queueing; within a
- * team, jobs are ordered by arrival plus a multiple of their expected work, which puts small jobs first without starving large ones.
- * All operations take logarithmic time in the number of waiting jobs and of endpoints.
+ * team, jobs are ordered by arrival plus a multiple of their remaining expected work, which puts small jobs first without starving large
+ * ones. All operations take logarithmic time in the number of waiting jobs and of endpoints.
  */
 class Dispatcher
 {
@@ -69,6 +69,10 @@
      * can go. */
     std::optional<Assignment> next(std::string_view service, Instant now);
 
+    /** @param service the service. @return rank of the most urgent waiting job; jobs with smaller ranks go first. Nothing when no task
+     * waits. */
+    std::optional<Instant> headRank(std::string_view service) const;
+
     /** Takes unused credits away, for another entry. @param service the service. @param wanted how many at most. @return agents with the
      * credits taken. */
     absl::btree_map<Incarnation, Credits> takeIdleCredits(std::string_view service, std::uint32_t wanted);
@@ -111,6 +115,9 @@
     {
         std::string team; ///< Team.
         Rank rank; ///< Place in the order.
+        std::int64_t arrival = 0; ///< When it was put in the queue, in microseconds.
+        Duration remaining{0}; ///< Expected run time of the tasks that wait.
+        std::uint32_t slots = 1; ///< Slots of the service.
         std::deque<WaitingTask> shortTasks; ///< Longest expected first.
         std::deque<WaitingTask> longTasks; ///< Longest expected first.
     };
@@ -156,6 +163,8 @@
     void list(ServiceQueue &queue, Incarnation agent, const AgentState &state);
     Incarnation chooseAgent(const absl::btree_set<AgentRank> &agents, Instant now) const;
     static std::optional<Choice> chooseTask(ServiceQueue &queue, bool allowLong);
+    static std::int64_t rankTime(const WaitingJob &job);
+    static void relist(TeamQueue &team, WaitingJob &job, JobSequence sequence);
     static WaitingTask takeTask(ServiceQueue &queue, const Choice &choice);
     const ServiceQueue *find(std::string_view service) const;
 
--- a/src/home/entry_core.cpp
+++ b/src/home/entry_core.cpp
@@ -161,7 +161,7 @@
         onWitnessAck(message.witness_ack(), now);
         break;
     case wire::Message::kCreditRequest:
-        onCreditRequest(peer, message.credit_request());
+        onCreditRequest(peer, message.credit_request(), now);
         break;
     case wire::Message::kRosterUpdate:
         adoptRoster(message.roster_update().roster(), now);
--- a/src/home/entry_core.h
+++ b/src/home/entry_core.h
@@ -148,6 +148,8 @@
     void pump(std::string_view service, Instant now);
     void grant(const Assignment &assignment, Instant now);
     void requestCredits(const std::string &service, Instant now);
+    void passOnCredits(const std::string &service, Instant now);
+    void giveCredits(const std::string &service, Incarnation peer, std::uint32_t wanted);
     void onTaskReport(Incarnation agent, const wire::TaskReport &report, Instant now);
     void applyReport(Job &job, Task &task, const wire::TaskReport &report, Instant now);
     void onNotRun(Job &job, Task &task, const wire::TaskReport &report, Instant now);
@@ -181,7 +183,7 @@
     void onWitness(Incarnation peer, const wire::Witness &message, Instant now);
     void onWitnessAck(const wire::WitnessAck &message, Instant now);
     void onPeerHeartbeat(Incarnation peer, const wire::PeerHeartbeat &heartbeat, Instant now);
-    void onCreditRequest(Incarnation peer, const wire::CreditRequest &request);
+    void onCreditRequest(Incarnation peer, const wire::CreditRequest &request, Instant now);
     void onHeartbeat(Incarnation agent, const wire::Heartbeat &heartbeat, Instant now);
     void onGoodbye(Incarnation agent, const wire::Goodbye &goodbye, Instant now);
     void queryOutstanding(Incarnation agent);
@@ -202,6 +204,14 @@
         std::string service; ///< Its service.
     };
 
+    /** Tasks that wait at another entry without credits. */
+    struct Demand
+    {
+        std::uint32_t wanted = 0; ///< Slots it can use.
+        Instant headRank; ///< Rank of its most urgent job.
+        Instant until; ///< The demand is void afterwards.
+    };
+
     EntrySettings settings_;
     EntryOutput &output_;
     Membership membership_;
@@ -215,6 +225,7 @@
     std::string learnedText_;
     absl::btree_map<Incarnation, absl::btree_map<TaskKey, Outstanding>> outstanding_;
     NameMap<Instant> nextCreditRequest_;
+    NameMap<absl::btree_map<Incarnation, Demand>> demands_; ///< By service, then by entry.
     Instant startedAt_ = NEVER;
     Instant nextHeartbeat_;
     Instant nextResend_;
--- a/src/home/entry_jobs.cpp
+++ b/src/home/entry_jobs.cpp
@@ -15,7 +15,9 @@
 namespace
 {
 
-constexpr Duration CREDIT_REQUEST_INTERVAL = Millis(20); ///< Time between requests for idle credits of one service.
+constexpr Duration CREDIT_REQUEST_INTERVAL = Millis(20); ///< Time between requests for credits of one service.
+constexpr Duration RANK_MARGIN = Millis(100); ///< A slot changes the entry only for a job that is so much more urgent.
+constexpr std::uint32_t MAX_URGENT_CREDITS = 8; ///< Slots passed on at once while own tasks wait.
 
 /** Whether every task was complete when its agent reported: then the lost home may have answered so. */
 bool isAllComplete(const Evidence &evidence, std::uint32_t taskCount)
@@ -303,6 +305,7 @@
 void EntryCore::pump(std::string_view service, Instant now)
 {
     const std::string name(service);
+    passOnCredits(name, now);
     while (const auto assignment = dispatcher_.next(name, now)) {
         grant(*assignment, now);
     }
@@ -342,19 +345,50 @@
 void EntryCore::requestCredits(const std::string &service, Instant now)
 {
     Instant &next = nextCreditRequest_[service];
-    if (now < next) {
+    const auto headRank = dispatcher_.headRank(service);
+    if (now < next || !headRank) {
         return;
     }
+    next = now + CREDIT_REQUEST_INTERVAL;
+    wire::Message message;
+    wire::CreditRequest *request = message.mutable_credit_request();
+    request->set_service(service);
+    request->set_wanted(dispatcher_.waiting(service));
+    request->set_head_rank_ms(std::chrono::duration_cast<Millis>(*headRank - now).count());
     for (const Incarnation peer : membership_.connectedPeers()) {
-        if (membership_.peerBacklog(peer, service) > Duration{0}) {
+        counters_.add("entry_credit_requests");
+        output_.sendToPeer(peer, message);
+    }
+}
+
+void EntryCore::passOnCredits(const std::string &service, Instant now)
+{
+    const auto found = demands_.find(service);
+    if (found == demands_.end() || dispatcher_.idleCredits(service) == 0) {
+        return;
+    }
+    const auto ownRank = dispatcher_.headRank(service);
+    for (auto &[peer, demand] : found->second) {
+        const bool isUrgent = !ownRank || demand.headRank + RANK_MARGIN < *ownRank;
+        if (demand.wanted == 0 || now >= demand.until || !isUrgent) {
             continue;
         }
-        next = now + CREDIT_REQUEST_INTERVAL;
+        // With own tasks waiting, only the most urgent job of the other entry is served: a few slots at a time.
+        const std::uint32_t amount = ownRank ? std::min(demand.wanted, MAX_URGENT_CREDITS) : demand.wanted;
+        demand.wanted = ownRank ? 0 : demand.wanted - std::min(demand.wanted, dispatcher_.idleCredits(service));
+        giveCredits(service, peer, amount);
+    }
+}
+
+void EntryCore::giveCredits(const std::string &service, Incarnation peer, std::uint32_t wanted)
+{
+    for (const auto &[agent, credits] : dispatcher_.takeIdleCredits(service, wanted)) {
         wire::Message message;
-        message.mutable_credit_request()->set_service(service);
-        message.mutable_credit_request()->set_wanted(dispatcher_.waiting(service));
-        counters_.add("entry_credit_requests");
-        output_.sendToPeer(peer, std::move(message));
+        message.mutable_credit_return()->set_general(credits.general);
+        message.mutable_credit_return()->set_short_only(credits.shortOnly);
+        message.mutable_credit_return()->set_give_to(toWire(peer));
+        counters_.add("entry_credits_passed_on", credits.total());
+        output_.sendToAgent(agent, std::move(message));
     }
 }
 
--- a/src/home/entry_peers.cpp
+++ b/src/home/entry_peers.cpp
@@ -9,6 +9,13 @@
 namespace medlarmill
 {
 
+namespace
+{
+
+constexpr Duration DEMAND_TIME = Millis(100); ///< A request for credits is void after so long.
+
+}
+
 wire::ServiceUpdate EntryCore::serviceUpdate(std::string_view service) const
 {
     wire::ServiceUpdate update;
@@ -302,19 +309,10 @@
     }
 }
 
-void EntryCore::onCreditRequest(Incarnation peer, const wire::CreditRequest &request)
+void EntryCore::onCreditRequest(Incarnation peer, const wire::CreditRequest &request, Instant now)
 {
-    if (dispatcher_.waiting(request.service()) > 0) {
-        return;
-    }
-    for (const auto &[agent, credits] : dispatcher_.takeIdleCredits(request.service(), request.wanted())) {
-        wire::Message message;
-        message.mutable_credit_return()->set_general(credits.general);
-        message.mutable_credit_return()->set_short_only(credits.shortOnly);
-        message.mutable_credit_return()->set_give_to(toWire(peer));
-        counters_.add("entry_credits_passed_on", credits.total());
-        output_.sendToAgent(agent, std::move(message));
-    }
+    demands_[request.service()][peer] = {request.wanted(), now + Millis(request.head_rank_ms()), now + DEMAND_TIME};
+    passOnCredits(request.service(), now);
 }
 
 void EntryCore::onRosterRead(const wire::Roster &roster, Instant now)
