Change: Requests for slots name jobs; agents wait for all entries' configuration

Cause: requests for credits were repeated every 20 ms, and a stale demand was served again and again. Change: a request names the 8 most urgent jobs with their tasks and is repeated only for a new job or after 250 ms; a slot changes the entry for a job more urgent by 500 ms.

--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -10,6 +10,7 @@
 namespace
 {
 
+constexpr Duration CONFIG_PATIENCE = Millis(2'000); ///< A configuration waits so long for an entry that does not have it in force yet.
 constexpr std::uint32_t WAITING_IMBALANCE = 4; ///< A slot changes its entry when another has so many times more tasks waiting per slot.
 
 TaskKey keyOf(const std::string &submission, std::uint32_t index)
@@ -62,7 +63,7 @@
     sender->second.lastHeard = now;
     switch (message.body_case()) {
     case wire::Message::kAdmit:
-        onAdmit(entry, message.admit());
+        onAdmit(entry, message.admit(), now);
         break;
     case wire::Message::kGrant:
         onGrant(entry, message.grant(), now);
@@ -83,7 +84,7 @@
         onHeartbeatAck(entry, message.heartbeat_ack());
         break;
     case wire::Message::kServiceUpdate:
-        onServiceUpdate(message.service_update());
+        onServiceUpdate(entry, message.service_update(), now);
         break;
     case wire::Message::kRosterUpdate:
         adoptRoster(message.roster_update().roster());
@@ -97,10 +98,10 @@
     }
 }
 
-void AgentCore::onAdmit(Incarnation entry, const wire::Admit &admit)
+void AgentCore::onAdmit(Incarnation entry, const wire::Admit &admit, Instant now)
 {
     adoptRoster(admit.roster());
-    onServiceUpdate(admit.service());
+    onServiceUpdate(entry, admit.service(), now);
     admittedBy_.insert(entry);
     entries_[entry].admitted = true;
     updateActive();
@@ -321,13 +322,31 @@
 void AgentCore::onHeartbeatAck(Incarnation entry, const wire::HeartbeatAck &ack)
 {
     entries_[entry].waiting = ack.waiting();
+    entries_[entry].configVersion = std::max(entries_[entry].configVersion, ConfigVersion{ack.config_version()});
     offerSlots();
 }
 
-void AgentCore::onServiceUpdate(const wire::ServiceUpdate &update)
+void AgentCore::onServiceUpdate(Incarnation entry, const wire::ServiceUpdate &update, Instant now)
 {
-    if (update.version() > service_.version()) {
-        service_ = update;
+    EntryLink &link = entries_[entry];
+    link.configVersion = std::max(link.configVersion, ConfigVersion{update.version()});
+    if (update.version() > learnedService_.version()) {
+        learnedService_ = update;
+        learnedAt_ = now;
+    }
+    activateService(now);
+}
+
+void AgentCore::activateService(Instant now)
+{
+    if (!active_ || learnedService_.version() <= service_.version()) {
+        return;
+    }
+    const bool everywhere = std::ranges::all_of(entries_, [this](const auto &item) {
+        return !item.second.admitted || item.second.configVersion >= ConfigVersion{learnedService_.version()};
+    });
+    if (everywhere || now >= learnedAt_ + CONFIG_PATIENCE) {
+        service_ = learnedService_;
     }
 }
 
@@ -354,6 +373,7 @@
 
 void AgentCore::tick(Instant now)
 {
+    activateService(now);
     records_.expire(now);
     for (const TaskKey &key : running_) {
         StartRecord *record = records_.find(key);
--- a/src/agent/agent_core.h
+++ b/src/agent/agent_core.h
@@ -77,7 +77,8 @@
         return RosterVersion{roster_.version()};
     }
 
-    /** @return newest version of the service's configuration. */
+    /** @return version of the service's configuration in force: one that every entry in reach has in force too, so that it never goes back
+     * when the agent starts again and hears another entry first. */
     ConfigVersion configVersion() const
     {
         return ConfigVersion{service_.version()};
@@ -96,26 +97,28 @@
         std::uint32_t generalOffered = 0; ///< Slots offered and not yet used, for any task.
         std::uint32_t shortOffered = 0; ///< Slots offered and not yet used, for short tasks.
         std::uint32_t waiting = 0; ///< Tasks waiting at the entry when last heard.
+        ConfigVersion configVersion = INVALID_CONFIG_VERSION; ///< In force at the entry.
         Instant lastHeard; ///< Last message.
         Instant nextHeartbeat; ///< When the next heartbeat is due.
         bool goodbyeSent = false; ///< Start records were handed over.
         bool goodbyeAcked = false; ///< The entry has stored them.
     };
 
-    void onAdmit(Incarnation entry, const wire::Admit &admit);
+    void onAdmit(Incarnation entry, const wire::Admit &admit, Instant now);
     void onGrant(Incarnation entry, const wire::Grant &grant, Instant now);
     void onCreditReturn(Incarnation entry, const wire::CreditReturn &message);
     void onQuery(Incarnation entry, const wire::TaskQuery &query);
     void onCancel(const wire::TaskCancel &cancel);
     void onFence(Incarnation entry, const wire::FenceRequest &request);
     void onHeartbeatAck(Incarnation entry, const wire::HeartbeatAck &ack);
-    void onServiceUpdate(const wire::ServiceUpdate &update);
+    void onServiceUpdate(Incarnation entry, const wire::ServiceUpdate &update, Instant now);
     Reason refusalOf(Incarnation entry, const wire::Grant &grant, Instant now) const;
     void startGranted(Incarnation entry, const wire::Grant &grant, Instant now);
     void refuse(Incarnation entry, const TaskKey &key, Reason reason);
     void report(Incarnation entry, const TaskKey &key, const StartRecord &record, bool credit, bool shortOnly);
     void adoptRoster(const wire::Roster &roster);
     void updateActive();
+    void activateService(Instant now);
     void offerSlots();
     void sendGoodbyes();
     std::uint32_t freeSlots() const;
@@ -132,6 +135,8 @@
     absl::btree_set<Incarnation> admittedBy_;
     wire::Roster roster_;
     wire::ServiceUpdate service_;
+    wire::ServiceUpdate learnedService_;
+    Instant learnedAt_ = NEVER;
     std::uint32_t slots_;
     bool active_ = false;
     bool leaving_ = false;
--- a/src/home/dispatcher.cpp
+++ b/src/home/dispatcher.cpp
@@ -145,6 +145,35 @@
     return best;
 }
 
+std::vector<JobNeed> Dispatcher::topJobs(std::string_view service, std::size_t count) const
+{
+    absl::btree_map<Rank, std::uint32_t> best;
+    const ServiceQueue *queue = find(service);
+    if (queue == nullptr) {
+        return {};
+    }
+    for (const auto &[name, team] : queue->teams) {
+        for (const auto *jobs : {&team.withShort, &team.withLong}) {
+            std::size_t listed = 0;
+            for (const Rank &rank : *jobs) {
+                if (listed++ == count) {
+                    break;
+                }
+                const WaitingJob &job = queue->jobs.find(rank.second)->second;
+                best[rank] = static_cast<std::uint32_t>(job.shortTasks.size() + job.longTasks.size());
+            }
+        }
+    }
+    std::vector<JobNeed> top;
+    for (const auto &[rank, tasks] : best) {
+        if (top.size() == count) {
+            break;
+        }
+        top.push_back({Instant{Duration(rank.first)}, tasks});
+    }
+    return top;
+}
+
 void Dispatcher::cancel(std::string_view service, JobSequence job)
 {
     const auto found = services_.find(service);
--- a/src/home/dispatcher.h
+++ b/src/home/dispatcher.h
@@ -32,6 +32,13 @@
     }
 };
 
+/** A job with waiting tasks, as another entry has to know it. */
+struct JobNeed
+{
+    Instant rank; ///< Place in the order.
+    std::uint32_t tasks = 0; ///< Tasks that wait.
+};
+
 /** A task that waits. */
 struct WaitingTask
 {
@@ -73,6 +80,9 @@
      * waits. */
     std::optional<Instant> headRank(std::string_view service) const;
 
+    /** @param service the service. @param count most jobs to list. @return the most urgent waiting jobs, by rank. */
+    std::vector<JobNeed> topJobs(std::string_view service, std::size_t count) const;
+
     /** Takes unused credits away, for another entry. @param service the service. @param wanted how many at most. @return agents with the
      * credits taken. */
     absl::btree_map<Incarnation, Credits> takeIdleCredits(std::string_view service, std::uint32_t wanted);
--- a/src/home/entry_core.h
+++ b/src/home/entry_core.h
@@ -13,12 +13,15 @@
 #include "home/relay_table.h"
 
 #include <absl/container/btree_map.h>
+#include <deque>
 #include <string>
 #include <string_view>
 
 namespace medlarmill
 {
 
+constexpr Duration DEMAND_TIME = Millis(250); ///< A request for credits is void after so long.
+
 /** Settings of the entry's decision code. */
 struct EntrySettings
 {
@@ -207,11 +210,18 @@
     /** Tasks that wait at another entry without credits. */
     struct Demand
     {
-        std::uint32_t wanted = 0; ///< Slots it can use.
-        Instant headRank; ///< Rank of its most urgent job.
+        std::deque<JobNeed> jobs; ///< Its most urgent jobs, by rank; served from the front.
+        Instant headRank = NEVER; ///< Rank of its most urgent job when last heard; NEVER when none waited.
         Instant until; ///< The demand is void afterwards.
     };
 
+    /** The last request for credits. */
+    struct Asked
+    {
+        JobSequence newest{}; ///< Newest job when it was made.
+        Instant until; ///< It counts until then.
+    };
+
     EntrySettings settings_;
     EntryOutput &output_;
     Membership membership_;
@@ -224,7 +234,8 @@
     ConfigVersion learnedVersion_ = INVALID_CONFIG_VERSION; ///< Newest accepted configuration; in force once all members heard have it.
     std::string learnedText_;
     absl::btree_map<Incarnation, absl::btree_map<TaskKey, Outstanding>> outstanding_;
-    NameMap<Instant> nextCreditRequest_;
+    NameMap<Asked> asked_; ///< By service.
+    JobSequence newestQueued_{}; ///< Newest job whose tasks were put in the queue.
     NameMap<absl::btree_map<Incarnation, Demand>> demands_; ///< By service, then by entry.
     Instant startedAt_ = NEVER;
     Instant nextHeartbeat_;
--- a/src/home/entry_jobs.cpp
+++ b/src/home/entry_jobs.cpp
@@ -15,9 +15,8 @@
 namespace
 {
 
-constexpr Duration CREDIT_REQUEST_INTERVAL = Millis(20); ///< Time between requests for credits of one service.
-constexpr Duration RANK_MARGIN = Millis(100); ///< A slot changes the entry only for a job that is so much more urgent.
-constexpr std::uint32_t MAX_URGENT_CREDITS = 8; ///< Slots passed on at once while own tasks wait.
+constexpr Duration RANK_MARGIN = Millis(500); ///< A slot changes the entry only for a job that is so much more urgent.
+constexpr std::size_t DEMAND_JOBS = 8; ///< Jobs that a request for credits names.
 
 /** Whether every task was complete when its agent reported: then the lost home may have answered so. */
 bool isAllComplete(const Evidence &evidence, std::uint32_t taskCount)
@@ -300,6 +299,7 @@
     }
     const std::uint32_t weight = team == config_.teams.end() ? 1 : team->second.weight;
     dispatcher_.enqueue(job.service, job.team, weight, job.sequence, std::move(tasks), membership_.slots(job.service), now);
+    newestQueued_ = std::max(newestQueued_, job.sequence);
 }
 
 void EntryCore::pump(std::string_view service, Instant now)
@@ -344,17 +344,24 @@
 
 void EntryCore::requestCredits(const std::string &service, Instant now)
 {
-    Instant &next = nextCreditRequest_[service];
-    const auto headRank = dispatcher_.headRank(service);
-    if (now < next || !headRank) {
+    Asked &asked = asked_[service];
+    const bool hasNewJob = newestQueued_ > asked.newest;
+    if (now < asked.until && !hasNewJob) {
         return;
     }
-    next = now + CREDIT_REQUEST_INTERVAL;
+    const std::vector<JobNeed> jobs = dispatcher_.topJobs(service, DEMAND_JOBS);
+    if (jobs.empty()) {
+        return;
+    }
+    asked = {newestQueued_, now + DEMAND_TIME};
     wire::Message message;
     wire::CreditRequest *request = message.mutable_credit_request();
     request->set_service(service);
-    request->set_wanted(dispatcher_.waiting(service));
-    request->set_head_rank_ms(std::chrono::duration_cast<Millis>(*headRank - now).count());
+    for (const JobNeed &job : jobs) {
+        wire::JobDemand *demand = request->add_jobs();
+        demand->set_rank_ms(std::chrono::duration_cast<Millis>(job.rank - now).count());
+        demand->set_tasks(job.tasks);
+    }
     for (const Incarnation peer : membership_.connectedPeers()) {
         counters_.add("entry_credit_requests");
         output_.sendToPeer(peer, message);
@@ -364,18 +371,27 @@
 void EntryCore::passOnCredits(const std::string &service, Instant now)
 {
     const auto found = demands_.find(service);
-    if (found == demands_.end() || dispatcher_.idleCredits(service) == 0) {
+    if (found == demands_.end()) {
         return;
     }
     const auto ownRank = dispatcher_.headRank(service);
     for (auto &[peer, demand] : found->second) {
-        const bool isUrgent = !ownRank || demand.headRank + RANK_MARGIN < *ownRank;
-        if (demand.wanted == 0 || now >= demand.until || !isUrgent) {
-            continue;
+        if (now >= demand.until) {
+            demand.jobs.clear();
+        }
+        std::uint32_t amount = 0;
+        while (!demand.jobs.empty() && dispatcher_.idleCredits(service) > amount) {
+            JobNeed &job = demand.jobs.front();
+            if (ownRank && job.rank + RANK_MARGIN >= *ownRank) {
+                break;
+            }
+            const std::uint32_t taken = std::min(job.tasks, dispatcher_.idleCredits(service) - amount);
+            amount += taken;
+            job.tasks -= taken;
+            if (job.tasks == 0) {
+                demand.jobs.pop_front();
+            }
         }
-        // With own tasks waiting, only the most urgent job of the other entry is served: a few slots at a time.
-        const std::uint32_t amount = ownRank ? std::min(demand.wanted, MAX_URGENT_CREDITS) : demand.wanted;
-        demand.wanted = ownRank ? 0 : demand.wanted - std::min(demand.wanted, dispatcher_.idleCredits(service));
         giveCredits(service, peer, amount);
     }
 }
--- a/src/home/entry_peers.cpp
+++ b/src/home/entry_peers.cpp
@@ -9,13 +9,6 @@
 namespace medlarmill
 {
 
-namespace
-{
-
-constexpr Duration DEMAND_TIME = Millis(100); ///< A request for credits is void after so long.
-
-}
-
 wire::ServiceUpdate EntryCore::serviceUpdate(std::string_view service) const
 {
     wire::ServiceUpdate update;
@@ -97,6 +90,7 @@
     message.mutable_heartbeat_ack()->set_stamp(heartbeat.stamp());
     message.mutable_heartbeat_ack()->set_roster_version(membership_.roster().version());
     message.mutable_heartbeat_ack()->set_waiting(dispatcher_.waiting(view->service));
+    message.mutable_heartbeat_ack()->set_config_version(static_cast<std::uint64_t>(config_.version));
     output_.sendToAgent(agent, std::move(message));
     pump(view->service, now);
 }
@@ -157,6 +151,12 @@
         message.mutable_config_update()->set_json(learnedText_);
         output_.sendToPeer(peer, std::move(message));
     }
+    for (auto &[service, peers] : demands_) {
+        peers[peer].headRank = NEVER;
+    }
+    for (const wire::ServiceBacklog &backlog : heartbeat.backlog()) {
+        demands_[backlog.service()][peer].headRank = now + Millis(backlog.head_rank_ms());
+    }
     activateConfig(now);
     if (now >= nextResend_) {
         sendDueRequests(now);
@@ -176,6 +176,7 @@
         wire::ServiceBacklog *backlog = heartbeat->add_backlog();
         backlog->set_service(service);
         backlog->set_work_ms(toMillis(dispatcher_.backlog(service)) + 1);
+        backlog->set_head_rank_ms(std::chrono::duration_cast<Millis>(*dispatcher_.headRank(service) - now).count());
     }
     for (const Incarnation peer : membership_.connectedPeers()) {
         output_.sendToPeer(peer, message);
@@ -311,7 +312,13 @@
 
 void EntryCore::onCreditRequest(Incarnation peer, const wire::CreditRequest &request, Instant now)
 {
-    demands_[request.service()][peer] = {request.wanted(), now + Millis(request.head_rank_ms()), now + DEMAND_TIME};
+    Demand demand;
+    for (const wire::JobDemand &job : request.jobs()) {
+        demand.jobs.push_back({now + Millis(job.rank_ms()), job.tasks()});
+    }
+    demand.headRank = demand.jobs.empty() ? NEVER : demand.jobs.front().rank;
+    demand.until = now + DEMAND_TIME;
+    demands_[request.service()][peer] = std::move(demand);
     passOnCredits(request.service(), now);
 }
 
