Fix: Crash on cancelling a rebuilt job whose outcome stays unknown

Change: the state is read before, and again only when the job is still there; jobs that wait for custody are looked up before each use. Test: a rebuilt job whose endpoints are silent is cancelled (crashes before, passes after).

--- a/src/home/entry_core.cpp
+++ b/src/home/entry_core.cpp
@@ -88,7 +88,9 @@
         output_.sendToAgent(agent, std::move(message));
     }
     for (const JobSequence sequence : jobs_.awaitingCustody()) {
-        resolveCustody(*jobs_.find(sequence), now);
+        if (Job *job = jobs_.find(sequence)) {
+            resolveCustody(*job, now);
+        }
     }
 }
 
--- a/src/home/entry_jobs.cpp
+++ b/src/home/entry_jobs.cpp
@@ -618,7 +618,9 @@
 void EntryCore::tickJobs(Instant now)
 {
     for (const JobSequence sequence : jobs_.awaitingCustody()) {
-        resolveCustody(*jobs_.find(sequence), now);
+        if (Job *job = jobs_.find(sequence)) {
+            resolveCustody(*job, now);
+        }
     }
     for (const JobSequence sequence : jobs_.overdue(now)) {
         Job *job = jobs_.find(sequence);
--- a/src/home/entry_relay.cpp
+++ b/src/home/entry_relay.cpp
@@ -238,10 +238,12 @@
 void EntryCore::read(RelayKind kind, const SubmissionId &id, const Waiter &waiter, std::uint32_t hops, Instant now)
 {
     if (Job *known = jobs_.find(id)) {
+        const wire::Answer before = stateOf(*known);
         if (kind == RelayKind::Cancel) {
             cancelJob(*known, now);
         }
-        answer(waiter, stateOf(*known), true);
+        const Job *after = jobs_.find(id); // A rebuilt job whose outcome stays unknown is forgotten by the cancellation.
+        answer(waiter, after == nullptr ? before : stateOf(*after), true);
         return;
     }
     const Custody custody = membership_.custodyOf(id, {}, now);
--- a/tests/fuzz/fuzz_test.cpp
+++ b/tests/fuzz/fuzz_test.cpp
@@ -237,6 +237,30 @@
     }
 }
 
+TEST_CASE("a rebuilt job whose endpoints are silent is cancelled")
+{
+    for (int home = 0; home < ENTRY_COUNT; ++home) {
+        const int other = (home + 1) % ENTRY_COUNT;
+        std::vector<Step> steps;
+        for (int id = 0; id < 12; ++id) {
+            steps.push_back({Op::SubmitFast, other, id, 2});
+        }
+        steps.insert(steps.end(), {{Op::Advance, 199, 0, 1}, {Op::KillEntry, home, 1, 0}, {Op::Advance, 900, 0, 0}});
+        for (int agent = 0; agent < AGENT_COUNT; ++agent) {
+            steps.push_back({Op::PauseNode, ENTRY_COUNT + agent, 0, 0});
+        }
+        for (int id = 0; id < 12; ++id) {
+            steps.push_back({Op::SubmitFast, other, id, 2});
+        }
+        steps.push_back({Op::Advance, 20, 0, 1});
+        for (int id = 0; id < 12; ++id) {
+            steps.push_back({Op::Cancel, other, id, 0});
+        }
+        std::string why;
+        CHECK_MESSAGE(!run(steps, Mutation::None, true, nullptr, &why), why);
+    }
+}
+
 TEST_CASE("every invariant holds under random faults")
 {
     Totals totals;
