--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,7 +2,7 @@
 
 #include "http/server.h"
 
-#include "net/address.h"
+#include "net/listen_func.h"
 
 #include <boost/beast/core.hpp>
 #include <fmt/format.h>
@@ -136,23 +136,11 @@
 
 absl::Status HttpServer::listen(const boost::asio::ip::tcp::endpoint &address)
 {
-    boost::system::error_code error;
-    acceptor_.open(address.protocol(), error);
-    if (!error) {
-        acceptor_.set_option(boost::asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-        acceptor_.bind(address, error);
-    }
-    if (!error) {
-        acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        return absl::UnavailableError(
-            fmt::format("cannot listen on {}: {}; choose a free address", formatAddress(address), error.message()));
+    absl::Status status = listenOn(acceptor_, address);
+    if (status.ok()) {
+        accept();
     }
-    accept();
-    return absl::OkStatus();
+    return status;
 }
 
 void HttpServer::stopAccepting()
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -25,7 +25,8 @@
 class Player
 {
 public:
-    Player(const TraceSettings &settings, const std::vector<TraceJob> &trace, std::vector<boost::asio::ip::tcp::endpoint> entries, std::string idPrefix)
+    Player(const TraceSettings &settings, const std::vector<TraceJob> &trace, std::vector<boost::asio::ip::tcp::endpoint> entries,
+           std::string idPrefix)
         : settings_(settings)
         , trace_(trace)
         , entries_(std::move(entries))
@@ -33,8 +34,7 @@
         , results_(trace.size())
         , timer_(context_)
         , progress_(context_)
-    {
-    }
+    { }
 
     std::vector<JobResult> play()
     {
@@ -81,8 +81,9 @@
 
     void submit(std::size_t index)
     {
-        HttpCallRequest call{entries_[index % entries_.size()],
-                             makeHttpRequest(boost::beast::http::verb::post, fmt::format("/v1/services/{}/jobs", settings_.service), bodyOf(index))};
+        HttpCallRequest call{
+            entries_[index % entries_.size()],
+            makeHttpRequest(boost::beast::http::verb::post, fmt::format("/v1/services/{}/jobs", settings_.service), bodyOf(index))};
         call.timeout = Millis(settings_.deadlineMs + ANSWER_GRACE_MS);
         const Instant sent = ProcessClock::now();
         startHttpCall(context_, std::move(call), [this, index, sent](const HttpResult &result) {
@@ -173,7 +174,8 @@
     }
     const std::vector<TraceJob> trace = generateTrace(*settings);
     const std::vector<double> ideal = idealResponses(trace, settings->slots, CALLER_LATENCY_MS);
-    const std::vector<JobResult> results = Player(*settings, trace, *parseAddresses(values.text("entries")), values.text("id-prefix")).play();
+    const std::vector<JobResult> results
+        = Player(*settings, trace, *parseAddresses(values.text("entries")), values.text("id-prefix")).play();
     if (!values.text("csv").empty()) {
         std::ofstream(values.text("csv")) << toCsv(trace, ideal, results);
     }
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -29,12 +29,17 @@
 
 json quantiles(const std::vector<double> &values)
 {
-    return {{"count", values.size()}, {"p50", quantile(values, 0.5)}, {"p90", quantile(values, 0.9)}, {"p99", quantile(values, 0.99)}, {"max", quantile(values, 1)}};
+    return {{"count", values.size()},
+            {"p50", quantile(values, 0.5)},
+            {"p90", quantile(values, 0.9)},
+            {"p99", quantile(values, 0.99)},
+            {"max", quantile(values, 1)}};
 }
 
 }
 
-json summarise(const TraceSettings &settings, const std::vector<TraceJob> &trace, const std::vector<double> &ideal, const std::vector<JobResult> &results)
+json summarise(const TraceSettings &settings, const std::vector<TraceJob> &trace, const std::vector<double> &ideal,
+               const std::vector<JobResult> &results)
 {
     std::vector<double> ratios;
     std::vector<double> smallRatios;
@@ -96,15 +101,8 @@
     for (std::size_t index = 0; index < trace.size(); ++index) {
         const TraceJob &job = trace[index];
         const JobResult &result = results[index];
-        text += fmt::format("{:.3f},{},{},{},{:.3f},{:.3f},{},{}\n",
-                            job.arrivalMs,
-                            job.kind,
-                            job.team,
-                            job.tasks.size(),
-                            ideal[index],
-                            result.responseMs,
-                            result.kind,
-                            result.reason);
+        text += fmt::format("{:.3f},{},{},{},{:.3f},{:.3f},{},{}\n", job.arrivalMs, job.kind, job.team, job.tasks.size(), ideal[index],
+                            result.responseMs, result.kind, result.reason);
     }
     return text;
 }
--- a/src/load/report.h
+++ b/src/load/report.h
@@ -21,11 +21,13 @@
     bool isWhole = false; ///< Every result is there and belongs to this job.
 };
 
-/** Summarises a run. @param settings the trace's settings. @param trace the jobs. @param ideal ideal response times. @param results what became of the jobs. @return the
- * summary. */
-nlohmann::json summarise(const TraceSettings &settings, const std::vector<TraceJob> &trace, const std::vector<double> &ideal, const std::vector<JobResult> &results);
+/** Summarises a run. @param settings the trace's settings. @param trace the jobs. @param ideal ideal response times. @param results what
+ * became of the jobs. @return the summary. */
+nlohmann::json summarise(const TraceSettings &settings, const std::vector<TraceJob> &trace, const std::vector<double> &ideal,
+                         const std::vector<JobResult> &results);
 
-/** Writes a line for each job. @param trace the jobs. @param ideal ideal response times. @param results what became of the jobs. @return the CSV text. */
+/** Writes a line for each job. @param trace the jobs. @param ideal ideal response times. @param results what became of the jobs. @return
+ * the CSV text. */
 std::string toCsv(const std::vector<TraceJob> &trace, const std::vector<double> &ideal, const std::vector<JobResult> &results);
 
 }
--- a/src/net/link_hub.cpp
+++ b/src/net/link_hub.cpp
@@ -4,6 +4,7 @@
 
 #include "net/address.h"
 #include "net/link_connection.h"
+#include "net/listen_func.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -41,23 +42,11 @@
 
 absl::Status LinkHub::listen(const boost::asio::ip::tcp::endpoint &address)
 {
-    boost::system::error_code error;
-    acceptor_.open(address.protocol(), error);
-    if (!error) {
-        acceptor_.set_option(boost::asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-        acceptor_.bind(address, error);
-    }
-    if (!error) {
-        acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        return absl::UnavailableError(
-            fmt::format("cannot listen on {}: {}; choose a free address", formatAddress(address), error.message()));
+    absl::Status status = listenOn(acceptor_, address);
+    if (status.ok()) {
+        accept();
     }
-    accept();
-    return absl::OkStatus();
+    return status;
 }
 
 void LinkHub::start()
