Fix: Entries know the slots of endpoints that announce themselves late

Cause: an agent's hello carried 0 slots when its endpoint had not announced itself yet, and nothing updated it, so entries weighed jobs and estimated completion with too few slots; seen in medlarmillctl status. Change: heartbeats carry the slots; the local system counts as ready only when entries know them. Before: the demo fails with 'not within 30 s: entries and endpoints ready'; after: it passes.

--- a/scripts/local_system.py
+++ b/scripts/local_system.py
@@ -156,7 +156,7 @@
         def ready():
             for index in range(self.entry_count):
                 status = request(self.http_port(index), "GET", "/v1/status", timeout=1)[1]
-                up = [endpoint for endpoint in status["endpoints"] if endpoint["state"] == "up"]
+                up = [endpoint for endpoint in status["endpoints"] if endpoint["state"] == "up" and endpoint["slots"] > 0]
                 if not status["ready"] or len(status["entries"]) != self.entry_count or len(up) != self.endpoint_count:
                     return False
             return all(request(self.agent_port(index), "GET", "/readyz", timeout=1)[0] == 200 for index in range(self.endpoint_count))
--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -399,6 +399,7 @@
         heartbeat->set_stamp(static_cast<std::uint64_t>(now.time_since_epoch().count()));
         heartbeat->set_config_version(service_.version());
         heartbeat->set_leaving(leaving_);
+        heartbeat->set_slots(slots_);
         heartbeat->set_running(static_cast<std::uint32_t>(running_.size()));
         output_.sendToEntry(entry, std::move(message));
     }
--- a/src/home/entry_peers.cpp
+++ b/src/home/entry_peers.cpp
@@ -82,6 +82,7 @@
     AgentView *view = membership_.findAgent(agent);
     view->stamp = std::max(view->stamp, heartbeat.stamp());
     view->configVersion = heartbeat.config_version();
+    view->slots = heartbeat.slots();
     view->leaving = view->leaving || heartbeat.leaving();
     if (view->leaving) {
         dispatcher_.removeAgent(agent);
--- a/src/load/decision_bench.cpp
+++ b/src/load/decision_bench.cpp
@@ -152,6 +152,7 @@
         for (const Incarnation agent : agents_) {
             wire::Message message;
             message.mutable_heartbeat()->set_stamp(1);
+            message.mutable_heartbeat()->set_slots(SLOTS);
             core_.onAgentMessage(agent, message, now_);
         }
         core_.tick(now_);
