Change: Admission keeps a margin to the deadline

Cause: with the true slots, admission filled the time to the deadline to the brim; the mean estimate made the last ones miss it. Change: the estimate may take 60% of the time to the deadline.

--- a/src/home/entry_jobs.cpp
+++ b/src/home/entry_jobs.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr Duration RANK_MARGIN = Millis(500); ///< A slot changes the entry only for a job that is so much more urgent.
+constexpr int ADMISSIBLE_PERCENT = 60; ///< Part of the time to the deadline that the estimated completion may take.
 constexpr std::size_t DEMAND_JOBS = 8; ///< Jobs that a request for credits names.
 
 /** Whether every task was complete when its agent reported: then the lost home may have answered so. */
@@ -258,7 +259,9 @@
     if (team != config_.teams.end() && dispatcher_.teamWaiting(job.service, job.team) + job.taskCount > team->second.maxWaiting) {
         return Reason::TeamQuota;
     }
-    const bool isLate = slots > 0 && *retryAfter + expectedOf(job) > job.deadline - job.phaseSince;
+    // The estimate is of a mean: without a margin, many of the jobs admitted last would miss their deadline and waste their slots.
+    const Duration available = (job.deadline - job.phaseSince) * ADMISSIBLE_PERCENT / 100;
+    const bool isLate = slots > 0 && *retryAfter + expectedOf(job) > available;
     return settings_.admitByEstimate && isLate ? Reason::DeadlineUnreachable : Reason::None;
 }
 
