--- a/src/daemon/stop_signal.cpp
+++ b/src/daemon/stop_signal.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/stop_signal.h"
 
+#include <atomic>
 #include <csignal>
 
 namespace medlarmill
@@ -10,11 +11,13 @@
 namespace
 {
 
-volatile std::sig_atomic_t stopRequested = 0;
+// Several threads may run the handler; a lock-free atomic is allowed in it.
+std::atomic<bool> stopRequested{false};
+static_assert(std::atomic<bool>::is_always_lock_free);
 
 void onStopSignal(int /*signal*/)
 {
-    stopRequested = 1;
+    stopRequested.store(true);
 }
 
 }
@@ -28,7 +31,7 @@
 
 bool isStopRequested()
 {
-    return stopRequested != 0;
+    return stopRequested.load();
 }
 
 }
