--- a/src/agentd/main.cpp
+++ b/src/agentd/main.cpp
@@ -6,6 +6,8 @@
 #include "daemon/settings.h"
 #include "daemon/stop_signal.h"
 #include "net/address.h"
+#include "platform/deployment.h"
+#include "platform/programs.h"
 
 #include <iostream>
 
@@ -41,6 +43,9 @@
 
 int main(int argc, const char **argv)
 {
+    if (argc == 1 && platform::isOnPlatform()) {
+        return platform::runAgent();
+    }
     SettingsBuilder builder = agentSettings();
     const SettingValues values = readSettingsOrExit(builder, argc, argv);
     const absl::Status logging = setUpLogging(values.text("name"), values.text("log-levels"));
--- /dev/null
+++ b/src/agentd/repeat_agent_process.cpp
@@ -0,0 +1,138 @@
+/** @file repeat_agent_process.cpp An agent for repeatable jobs. */
+
+#include "agentd/repeat_agent_process.h"
+
+#include "daemon/metrics.h"
+
+#include <fmt/format.h>
+
+namespace medlarmill
+{
+
+namespace
+{
+
+constexpr Duration TICK = Millis(15); ///< Time between ticks of the decisions.
+constexpr Duration STOP_MARGIN = Millis(500); ///< Time left at the end of the grace period.
+constexpr Duration LEAST_STOP = Millis(400); ///< Time for entries to learn that no further work is taken.
+
+}
+
+RepeatAgentProcess::RepeatAgentProcess(boost::asio::io_context &context, RepeatAgentProcessSettings settings, EndpointPort &endpoint,
+                                       SharedTable &table, BoundedLog &log)
+    : context_(context)
+    , settings_(std::move(settings))
+    , log_(log)
+    , hub_(context, {}, *this)
+    , core_(settings_.core, *this, endpoint, log)
+    , directory_(context, table, "", log)
+    , timer_(context)
+{ }
+
+void RepeatAgentProcess::start()
+{
+    log_.note(fmt::format("event=started role=agent incarnation={:016x} zone={}", toWire(settings_.core.incarnation), settings_.core.zone));
+    learnAddresses(settings_.seeds);
+    directory_.start(
+        [this] {
+            return hub_.linkCount() > 0;
+        },
+        [this](const std::vector<std::string> &addresses) {
+            learnAddresses(addresses);
+        });
+    tick();
+}
+
+void RepeatAgentProcess::stop()
+{
+    if (stopAt_ != NEVER) {
+        return;
+    }
+    stopAt_ = ProcessClock::now();
+    log_.note(fmt::format("event=stop_began held={}", core_.held()));
+    core_.startDraining(stopAt_);
+}
+
+void RepeatAgentProcess::tick()
+{
+    const Instant now = ProcessClock::now();
+    core_.tick(now);
+    log_.flush();
+    const bool stopping = stopAt_ != NEVER;
+    const bool done = stopping && core_.held() == 0 && now >= stopAt_ + LEAST_STOP;
+    if (done || (stopping && now >= stopAt_ + settings_.grace - STOP_MARGIN)) {
+        log_.note(fmt::format("event=stopped held={}", core_.held()));
+        log_.flush();
+        context_.stop();
+        return;
+    }
+    timer_.expires_after(TICK);
+    timer_.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+void RepeatAgentProcess::onNotice(const EndpointNotice &notice)
+{
+    core_.onNotice(notice, ProcessClock::now());
+}
+
+void RepeatAgentProcess::learnAddresses(const std::vector<std::string> &addresses)
+{
+    bool changed = false;
+    for (const std::string &address : addresses) {
+        changed = targets_.insert(address).second || changed;
+    }
+    if (changed) {
+        hub_.setTargets({targets_.begin(), targets_.end()});
+    }
+}
+
+void RepeatAgentProcess::sendTo(Incarnation peer, repeat::Message message)
+{
+    hub_.sendTo(peer, std::move(message));
+}
+
+void RepeatAgentProcess::resetLink(Incarnation peer)
+{
+    hub_.resetLink(peer);
+}
+
+void RepeatAgentProcess::onLinkUp(Incarnation peer, const repeat::Message &hello, bool /*dialed*/)
+{
+    log_.note(fmt::format("event=entry_up entry={} incarnation={:016x}", hello.entry_hello().name(), toWire(peer)));
+    core_.onEntryUp(peer, ProcessClock::now());
+}
+
+void RepeatAgentProcess::onLinkDown(Incarnation peer, bool processGone)
+{
+    log_.warn(fmt::format("event=entry_down incarnation={:016x} process_gone={}", toWire(peer), processGone));
+    core_.onEntryDown(peer, processGone, ProcessClock::now());
+}
+
+void RepeatAgentProcess::onMessage(Incarnation peer, const repeat::Message &message)
+{
+    if (message.has_entry_list()) {
+        learnAddresses({message.entry_list().addresses().begin(), message.entry_list().addresses().end()});
+        return;
+    }
+    core_.onEntryMessage(peer, message, ProcessClock::now());
+}
+
+void RepeatAgentProcess::onFrameEnd()
+{ }
+
+std::string RepeatAgentProcess::metricsText() const
+{
+    std::string text;
+    writeCounters(core_.counters(), text);
+    writeGauge("agent_held_runs", static_cast<double>(core_.held()), text);
+    writeGauge("agent_free_cpu", core_.freeRoom().cpu, text);
+    writeGauge("agent_entry_links", static_cast<double>(hub_.linkCount()), text);
+    writeGauge("log_lines_dropped", static_cast<double>(log_.dropped()), text);
+    return text;
+}
+
+}
--- /dev/null
+++ b/src/agentd/repeat_agent_process.h
@@ -0,0 +1,70 @@
+/** @file repeat_agent_process.h An agent for repeatable jobs: one loop for links, the endpoint and decisions. */
+
+#pragma once
+
+#include "daemon/bounded_log.h"
+#include "net/message_hub.h"
+#include "repeat/repeat_agent.h"
+#include "table/entry_directory.h"
+
+#include <absl/container/btree_set.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <string>
+#include <vector>
+
+namespace medlarmill
+{
+
+/** Settings of a RepeatAgentProcess. */
+struct RepeatAgentProcessSettings
+{
+    RepeatAgentSettings core; ///< Decisions.
+    std::vector<std::string> seeds; ///< Addresses of some entries; may be stale.
+    Duration grace = Millis(6'000); ///< Time from the stop signal to the end.
+};
+
+/** Runs an agent. */
+class RepeatAgentProcess : public LinkOutput, public MessageHubEvents
+{
+public:
+    /** @param context the loop. @param settings checked settings. @param endpoint calls the endpoint. @param table the tables. @param log
+     * the log. */
+    RepeatAgentProcess(boost::asio::io_context &context, RepeatAgentProcessSettings settings, EndpointPort &endpoint, SharedTable &table,
+                       BoundedLog &log);
+
+    /** Begins. */
+    void start();
+
+    /** Begins a planned stop; the loop ends when it is done. */
+    void stop();
+
+    /** The endpoint said something of itself. @param notice what. */
+    void onNotice(const EndpointNotice &notice);
+
+    /** @return the metrics page. */
+    std::string metricsText() const;
+
+    void sendTo(Incarnation peer, repeat::Message message) override;
+    void resetLink(Incarnation peer) override;
+    void onLinkUp(Incarnation peer, const repeat::Message &hello, bool dialed) override;
+    void onLinkDown(Incarnation peer, bool processGone) override;
+    void onMessage(Incarnation peer, const repeat::Message &message) override;
+    void onFrameEnd() override;
+
+private:
+    void learnAddresses(const std::vector<std::string> &addresses);
+    void tick();
+
+    boost::asio::io_context &context_;
+    RepeatAgentProcessSettings settings_;
+    BoundedLog &log_;
+    MessageHub hub_;
+    RepeatAgent core_;
+    EntryDirectory directory_;
+    boost::asio::steady_timer timer_;
+    absl::btree_set<std::string> targets_;
+    Instant stopAt_ = NEVER;
+};
+
+}
--- a/src/core/reason_table.cpp
+++ b/src/core/reason_table.cpp
@@ -28,6 +28,8 @@
     {Reason::DeadlinePassed, "deadline_passed", "a task may have run: check its effect before submitting under a new id"},
     {Reason::Cancelled, "cancelled", "a task may have run: check its effect before submitting under a new id"},
     {Reason::RetryBudgetSpent, "retry_budget_spent", "check the endpoints of the service, then submit under a new id"},
+    {Reason::EndpointsFailing, "endpoints_failing", "check the endpoints of the service, then submit again"},
+    {Reason::CallerGone, "caller_gone", "none: nobody waits for the answer"},
     {Reason::HomeUnreachable, "home_unreachable", "fetch or submit the same id again later"},
     {Reason::TakeoverIncomplete, "takeover_incomplete",
      "fetch or submit the same id again later; an id minted by an entry is free of this"},
@@ -46,6 +48,17 @@
     {Reason::NeverSeen, "never_seen", "none: the task is granted again"},
     {Reason::EndpointAbsent, "endpoint_absent", "check the endpoint process beside the agent"},
     {Reason::DuplicateStart, "duplicate_start", "none: the first start counts"},
+    {Reason::NoRoom, "no_room", "none: the task is ordered again"},
+    {Reason::EndpointUnhealthy, "endpoint_unhealthy", "check the endpoint beside the agent"},
+    {Reason::TimeUp, "time_up", "none: the caller does not wait any longer"},
+    {Reason::StoppedByOrder, "stopped_by_order", "none: the entry cancelled the run"},
+    {Reason::LeaseLapsed, "lease_lapsed", "check whether the agent was paused"},
+    {Reason::EndpointRestarted, "endpoint_restarted", "check why the endpoint ended"},
+    {Reason::NoAnswer, "no_answer", "check the endpoint beside the agent"},
+    {Reason::AgentLost, "agent_lost", "check the agent's machine and the network"},
+    {Reason::Stalled, "stalled", "check the endpoint beside the agent"},
+    {Reason::OldAttempt, "old_attempt", "none: the task is ordered again with a higher attempt"},
+    {Reason::UnsupportedJob, "unsupported_job", "submit a repeatable job without the property that the log names"},
 };
 
 }
--- a/src/core/reason_type.h
+++ b/src/core/reason_type.h
@@ -28,6 +28,8 @@
     DeadlinePassed = 22, ///< The deadline passed while tasks were running.
     Cancelled = 23, ///< Cancelled after tasks had started.
     RetryBudgetSpent = 24, ///< Tasks proved not started were granted again too often.
+    EndpointsFailing = 25, ///< Every try on the endpoints was lost.
+    CallerGone = 26, ///< The caller closed its connection.
     // The outcome is unknown.
     HomeUnreachable = 40, ///< The home entry did not answer.
     TakeoverIncomplete = 41, ///< A lost home may have started the job and not every agent has reported.
@@ -48,6 +50,17 @@
     NeverSeen = 86, ///< The agent never received the grant.
     EndpointAbsent = 87, ///< The endpoint could not be connected to.
     DuplicateStart = 88, ///< The task was started before.
+    NoRoom = 89, ///< The endpoint has no room for the task.
+    EndpointUnhealthy = 90, ///< The endpoint refused as unhealthy, or is taken out.
+    TimeUp = 91, ///< The time of the order was up.
+    StoppedByOrder = 92, ///< The entry cancelled the run.
+    LeaseLapsed = 93, ///< The lease of the run expired.
+    EndpointRestarted = 94, ///< The endpoint ended or restarted.
+    NoAnswer = 95, ///< The endpoint did not answer the start; the run was stopped.
+    AgentLost = 96, ///< The agent was silent until its lease had expired.
+    Stalled = 97, ///< The run stood still and was stopped.
+    OldAttempt = 98, ///< The endpoint has seen a higher attempt.
+    UnsupportedJob = 99, ///< The job asks for a property that is not served.
 };
 
 }
--- a/src/core/time_type.h
+++ b/src/core/time_type.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace medlarmill
 {
@@ -20,10 +21,12 @@
     using time_point = std::chrono::time_point<ProcessClock>;
     static constexpr bool is_steady = true;
 
-    /** @return the present instant of the steady clock. */
+    /** @return the present instant of the clock that also counts the time in which the machine is suspended. */
     static time_point now()
     {
-        return time_point(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+        timespec time{};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return time_point(std::chrono::seconds(time.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec)));
     }
 };
 
--- a/src/ctl/config_commands.cpp
+++ b/src/ctl/config_commands.cpp
@@ -4,7 +4,7 @@
 #include "ctl/command_type.h"
 #include "daemon/random.h"
 #include "net/address.h"
-#include "platform/http_table_service.h"
+#include "table/http_table_service.h"
 
 #include <fmt/core.h>
 #include <fstream>
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -5,7 +5,7 @@
 #include "daemon/logging.h"
 #include "daemon/random.h"
 #include "daemon/stop_signal.h"
-#include "platform/http_table_service.h"
+#include "table/http_table_service.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -6,6 +6,8 @@
 #include "daemon/stop_signal.h"
 #include "entry/entry_process.h"
 #include "net/address.h"
+#include "platform/deployment.h"
+#include "platform/programs.h"
 
 #include <iostream>
 
@@ -79,6 +81,9 @@
 
 int main(int argc, const char **argv)
 {
+    if (argc == 1 && platform::isOnPlatform()) {
+        return platform::runEntry();
+    }
     SettingsBuilder builder = entrySettings();
     const SettingValues values = readSettingsOrExit(builder, argc, argv);
     const absl::Status logging = setUpLogging(values.text("name"), values.text("log-levels"));
--- /dev/null
+++ b/src/entry/repeat_entry_process.cpp
@@ -0,0 +1,295 @@
+/** @file repeat_entry_process.cpp An entry for repeatable jobs. */
+
+#include "entry/repeat_entry_process.h"
+
+#include "net/address.h"
+
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+
+namespace medlarmill
+{
+
+namespace
+{
+
+constexpr Duration TICK = Millis(10); ///< Time between ticks of the decisions.
+constexpr Duration PEER_PING = Millis(500); ///< Time between proofs of life to other entries.
+constexpr Duration ROTATION_TIME = Millis(2'600); ///< The balancer takes a node out after two misses, one a second.
+constexpr Duration STOP_MARGIN = Millis(700); ///< Time left to write the last answers before the end of the grace period.
+constexpr Duration FLUSH_TIME = Millis(60); ///< Time for the last answers to leave.
+
+}
+
+RepeatEntryProcess::RepeatEntryProcess(boost::asio::io_context &context, RepeatEntryProcessSettings settings, CallerSide &callers,
+                                       SharedTable &table, BoundedLog &log)
+    : context_(context)
+    , settings_(std::move(settings))
+    , callers_(callers)
+    , log_(log)
+    , hub_(context,
+           {[this] {
+                repeat::Message message;
+                repeat::EntryHello *hello = message.mutable_entry_hello();
+                hello->set_incarnation(toWire(settings_.core.incarnation));
+                hello->set_name(settings_.core.name);
+                hello->set_address(settings_.listen);
+                hello->set_config_version(callers_.configVersion());
+                return message;
+            },
+            settings_.listen},
+           *this)
+    , core_(settings_.core, *this, callers, log)
+    , configWatcher_(context, table, settings_.config, log,
+                     [this](const std::string &text) {
+                         onDocument(text, "table");
+                     })
+    , directory_(context, table, settings_.listen, log)
+    , timer_(context)
+{ }
+
+absl::Status RepeatEntryProcess::start()
+{
+    const auto address = parseAddress(settings_.listen);
+    if (!address.ok()) {
+        return address.status();
+    }
+    absl::Status status = hub_.listen(*address);
+    if (!status.ok()) {
+        return status;
+    }
+    configWatcher_.start();
+    learnAddresses(settings_.seeds);
+    directory_.start(
+        [this] {
+            return !agentPeers_.empty();
+        },
+        [this](const std::vector<std::string> &addresses) {
+            learnAddresses(addresses);
+        });
+    log_.note(fmt::format("event=started role=entry incarnation={:016x} zone={} listen={}", toWire(settings_.core.incarnation),
+                          settings_.core.zone, settings_.listen));
+    tick();
+    return absl::OkStatus();
+}
+
+bool RepeatEntryProcess::isReady() const
+{
+    return stopAt_ == NEVER && callers_.configVersion() != 0;
+}
+
+void RepeatEntryProcess::submit(CallerToken caller, RepeatJob job)
+{
+    core_.submit(caller, std::move(job), ProcessClock::now());
+    pumpSoon();
+}
+
+void RepeatEntryProcess::callerGone(CallerToken caller)
+{
+    core_.onCallerGone(caller, ProcessClock::now());
+}
+
+bool RepeatEntryProcess::cancel(const SubmissionId &id)
+{
+    return core_.cancel(id, ProcessClock::now());
+}
+
+void RepeatEntryProcess::pumpSoon()
+{
+    if (pumpScheduled_) {
+        return;
+    }
+    pumpScheduled_ = true;
+    boost::asio::post(context_, [this] {
+        pumpScheduled_ = false;
+        core_.pump(ProcessClock::now());
+    });
+}
+
+void RepeatEntryProcess::sendTo(Incarnation peer, repeat::Message message)
+{
+    hub_.sendTo(peer, std::move(message));
+}
+
+void RepeatEntryProcess::resetLink(Incarnation peer)
+{
+    agentPeers_.erase(peer);
+    hub_.resetLink(peer);
+}
+
+void RepeatEntryProcess::onLinkUp(Incarnation peer, const repeat::Message &hello, bool dialed)
+{
+    if (hello.has_agent_hello()) {
+        agentPeers_.insert(peer);
+        core_.onAgentUp(hello.agent_hello(), ProcessClock::now());
+        sendEntryList(peer);
+        pumpSoon();
+        return;
+    }
+    entryPeers_.insert(peer);
+    log_.note(fmt::format("event=entry_up entry={} incarnation={:016x} config_version={}", hello.entry_hello().name(), toWire(peer),
+                          hello.entry_hello().config_version()));
+    if (dialed) {
+        repeat::Message own;
+        repeat::EntryHello *answer = own.mutable_entry_hello();
+        answer->set_incarnation(toWire(settings_.core.incarnation));
+        answer->set_name(settings_.core.name);
+        answer->set_address(settings_.listen);
+        answer->set_config_version(callers_.configVersion());
+        hub_.sendTo(peer, std::move(own));
+    }
+    learnAddresses({hello.entry_hello().address()});
+    if (hello.entry_hello().config_version() < callers_.configVersion()) {
+        sendConfig(peer);
+    }
+}
+
+void RepeatEntryProcess::onLinkDown(Incarnation peer, bool /*processGone*/)
+{
+    if (agentPeers_.erase(peer) > 0) {
+        core_.onAgentDown(peer, ProcessClock::now());
+    } else if (entryPeers_.erase(peer) > 0) {
+        log_.warn(fmt::format("event=entry_down incarnation={:016x}", toWire(peer)));
+    }
+}
+
+void RepeatEntryProcess::onMessage(Incarnation peer, const repeat::Message &message)
+{
+    if (message.has_config_document()) {
+        onDocument(message.config_document().text(), "peer");
+    } else if (message.has_entry_list()) {
+        learnAddresses({message.entry_list().addresses().begin(), message.entry_list().addresses().end()});
+    } else if (agentPeers_.contains(peer)) {
+        core_.onAgentMessage(peer, message, ProcessClock::now());
+    }
+}
+
+void RepeatEntryProcess::onFrameEnd()
+{
+    pumpSoon();
+}
+
+void RepeatEntryProcess::onDocument(const std::string &text, std::string_view source)
+{
+    const std::optional<std::uint64_t> version = callers_.applyConfig(text);
+    if (!version.has_value()) {
+        return;
+    }
+    document_ = text;
+    log_.note(fmt::format("event=config_in_force version={} source={} bytes={}", *version, source, text.size()));
+    for (const Incarnation peer : entryPeers_) {
+        sendConfig(peer);
+    }
+}
+
+void RepeatEntryProcess::sendConfig(Incarnation peer)
+{
+    repeat::Message message;
+    message.mutable_config_document()->set_version(callers_.configVersion());
+    message.mutable_config_document()->set_text(document_);
+    hub_.sendTo(peer, std::move(message));
+}
+
+void RepeatEntryProcess::sendEntryList(Incarnation peer)
+{
+    repeat::Message message;
+    for (const std::string &address : knownEntries_) {
+        message.mutable_entry_list()->add_addresses(address);
+    }
+    hub_.sendTo(peer, std::move(message));
+}
+
+void RepeatEntryProcess::learnAddresses(const std::vector<std::string> &addresses)
+{
+    bool changed = false;
+    for (const std::string &address : addresses) {
+        changed = knownEntries_.insert(address).second || changed;
+    }
+    if (!changed) {
+        return;
+    }
+    // Of two entries, the one with the smaller address dials.
+    std::vector<std::string> targets;
+    for (const std::string &address : knownEntries_) {
+        if (address > settings_.listen) {
+            targets.push_back(address);
+        }
+    }
+    hub_.setTargets(targets);
+    for (const Incarnation agent : agentPeers_) {
+        sendEntryList(agent);
+    }
+}
+
+void RepeatEntryProcess::tick()
+{
+    const Instant now = ProcessClock::now();
+    core_.tick(now);
+    if (now >= nextPeerPing_) {
+        nextPeerPing_ = now + PEER_PING;
+        for (const Incarnation peer : entryPeers_) {
+            repeat::Message message;
+            message.mutable_entry_ping()->set_stamp(0);
+            hub_.sendTo(peer, std::move(message));
+        }
+    }
+    log_.flush();
+    tickStop(now);
+    timer_.expires_after(TICK);
+    timer_.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+void RepeatEntryProcess::stop()
+{
+    if (stopAt_ != NEVER) {
+        return;
+    }
+    stopAt_ = ProcessClock::now();
+    log_.note(fmt::format("event=stop_began open_jobs={}", core_.open()));
+    directory_.retire();
+}
+
+void RepeatEntryProcess::tickStop(Instant now)
+{
+    if (stopAt_ == NEVER) {
+        return;
+    }
+    if (finishedAt_ == NEVER) {
+        if (now < stopAt_ + ROTATION_TIME) {
+            return;
+        }
+        callers_.closeAfterAnswers();
+        if (now >= stopAt_ + settings_.grace - STOP_MARGIN) {
+            core_.startDraining();
+            core_.abandonAll(now);
+        }
+        if (core_.open() == 0) {
+            callers_.stopAccepting();
+            finishedAt_ = now;
+        }
+        return;
+    }
+    if (now >= finishedAt_ + FLUSH_TIME && core_.open() == 0) {
+        log_.note("event=stopped");
+        log_.flush();
+        context_.stop();
+    }
+}
+
+std::string RepeatEntryProcess::metricsText() const
+{
+    std::string text;
+    writeCounters(core_.counters(), text);
+    writeGauge("entry_open_jobs", static_cast<double>(core_.open()), text);
+    writeGauge("entry_config_version", static_cast<double>(callers_.configVersion()), text);
+    writeGauge("entry_agent_links", static_cast<double>(agentPeers_.size()), text);
+    writeGauge("entry_peer_links", static_cast<double>(entryPeers_.size()), text);
+    writeGauge("log_lines_dropped", static_cast<double>(log_.dropped()), text);
+    return text;
+}
+
+}
--- /dev/null
+++ b/src/entry/repeat_entry_process.h
@@ -0,0 +1,122 @@
+/** @file repeat_entry_process.h An entry for repeatable jobs: one loop for links, callers, tables and decisions. */
+
+#pragma once
+
+#include "daemon/bounded_log.h"
+#include "daemon/metrics.h"
+#include "net/message_hub.h"
+#include "repeat/repeat_entry.h"
+#include "table/config_watcher.h"
+#include "table/entry_directory.h"
+
+#include <absl/container/btree_set.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace medlarmill
+{
+
+/** Settings of a RepeatEntryProcess. */
+struct RepeatEntryProcessSettings
+{
+    RepeatEntrySettings core; ///< Decisions.
+    std::string listen; ///< Address for agents and other entries.
+    std::vector<std::string> seeds; ///< Addresses of some entries; may be stale.
+    ConfigWatcher::Place config; ///< Where the configuration lies.
+    Duration grace = Millis(6'000); ///< Time from the stop signal to the end.
+};
+
+/** What the process needs of the side that speaks with callers. */
+class CallerSide : public CallerOutput
+{
+public:
+    /** A document of the configuration was read. @param text the document. @return its version when it is valid and newer than the one in
+     * force, which it replaces. */
+    virtual std::optional<std::uint64_t> applyConfig(const std::string &text) = 0;
+
+    /** @return version in force; 0 for none. */
+    virtual std::uint64_t configVersion() const = 0;
+
+    /** Answers close their connections from now on. */
+    virtual void closeAfterAnswers() = 0;
+
+    /** Accepts no further connections. */
+    virtual void stopAccepting() = 0;
+};
+
+/** Runs an entry. */
+class RepeatEntryProcess : public LinkOutput, public MessageHubEvents
+{
+public:
+    /** @param context the loop. @param settings checked settings. @param callers the callers' side. @param table the tables. @param log the
+     * log. */
+    RepeatEntryProcess(boost::asio::io_context &context, RepeatEntryProcessSettings settings, CallerSide &callers, SharedTable &table,
+                       BoundedLog &log);
+
+    /** Begins. @return why it failed. */
+    absl::Status start();
+
+    /** Begins a planned stop; the loop ends when it is done. */
+    void stop();
+
+    /** @return whether callers' new connections are wanted here. */
+    bool isReady() const;
+
+    /** Hands a job in. @param caller the caller. @param job the job. */
+    void submit(CallerToken caller, RepeatJob job);
+
+    /** A caller has gone. @param caller the caller. */
+    void callerGone(CallerToken caller);
+
+    /** Cancels a job. @param id the job. @return whether it was open. */
+    bool cancel(const SubmissionId &id);
+
+    /** @return the decisions, for reading. */
+    const RepeatEntry &core() const
+    {
+        return core_;
+    }
+
+    /** @return the metrics page. */
+    std::string metricsText() const;
+
+    void sendTo(Incarnation peer, repeat::Message message) override;
+    void resetLink(Incarnation peer) override;
+    void onLinkUp(Incarnation peer, const repeat::Message &hello, bool dialed) override;
+    void onLinkDown(Incarnation peer, bool processGone) override;
+    void onMessage(Incarnation peer, const repeat::Message &message) override;
+    void onFrameEnd() override;
+
+private:
+    void onDocument(const std::string &text, std::string_view source);
+    void sendConfig(Incarnation peer);
+    void learnAddresses(const std::vector<std::string> &addresses);
+    void sendEntryList(Incarnation peer);
+    void pumpSoon();
+    void tick();
+    void tickStop(Instant now);
+
+    boost::asio::io_context &context_;
+    RepeatEntryProcessSettings settings_;
+    CallerSide &callers_;
+    BoundedLog &log_;
+    MessageHub hub_;
+    RepeatEntry core_;
+    ConfigWatcher configWatcher_;
+    EntryDirectory directory_;
+    boost::asio::steady_timer timer_;
+    absl::btree_set<Incarnation> entryPeers_; ///< Other entries with a link.
+    absl::btree_set<Incarnation> agentPeers_; ///< Agents with a link.
+    absl::btree_set<std::string> knownEntries_; ///< Addresses.
+    std::string document_; ///< Configuration in force.
+    Instant nextPeerPing_;
+    Instant stopAt_ = NEVER; ///< When the stop began.
+    Instant finishedAt_ = NEVER; ///< When the last answer was written.
+    bool pumpScheduled_ = false;
+};
+
+}
--- a/src/entry/store_worker.cpp
+++ b/src/entry/store_worker.cpp
@@ -3,7 +3,7 @@
 #include "entry/store_worker.h"
 
 #include "daemon/logging.h"
-#include "platform/roster_document.h"
+#include "table/roster_document.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/entry/store_worker.h
+++ b/src/entry/store_worker.h
@@ -6,7 +6,7 @@
 #include "core/time_type.h"
 #include "net/doorbell.h"
 #include "net/ring.h"
-#include "platform/table_service.h"
+#include "table/table_service.h"
 #include "wire/generated/medlarmill.pb.h"
 
 #include <atomic>
--- /dev/null
+++ b/src/http/channel.h
@@ -0,0 +1,85 @@
+/** @file channel.h HTTP/1.1 client on connections that stay open: one request at a time on each. */
+
+#pragma once
+
+#include "http/client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace medlarmill
+{
+
+/** Settings of an HttpChannel. */
+struct HttpChannelSettings
+{
+    std::size_t maxConnections = 4; ///< Connections at most; further requests wait for a free one.
+    Duration connectTimeout = Millis(500); ///< Time to open a connection.
+    std::size_t maxWaiting = 1'000; ///< Requests that may wait; more are answered as not sent.
+};
+
+/** How a request on a channel failed to get an answer. */
+enum class ChannelFailure : std::uint8_t {
+    None, ///< It was answered.
+    Refused, ///< Nothing listens there: not sent.
+    Unreachable, ///< The connection could not be opened: not sent.
+    Broken, ///< The connection broke after the request was sent.
+    TimedOut, ///< The answer did not come in time.
+};
+
+/** Result of a request on a channel. */
+struct ChannelResult
+{
+    ChannelFailure failure = ChannelFailure::None; ///< Why there is no answer.
+    HttpResponse response; ///< The answer.
+};
+
+/** Connections to one server. Lives on one loop; a connection whose answer did not come is closed. */
+class HttpChannel : public std::enable_shared_from_this<HttpChannel>
+{
+public:
+    using Done = std::function<void(ChannelResult)>; ///< Gets the result once, on the loop.
+
+    /** @param context the loop. @param server where. @param settings limits. */
+    HttpChannel(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint server, HttpChannelSettings settings);
+
+    /** Makes a request. @param request the request. @param timeout time for the answer, the wait for a connection included. @param done
+     * gets the result. */
+    void call(HttpRequest request, Duration timeout, Done done);
+
+    /** Closes all connections; requests under way end as broken. */
+    void close();
+
+    /** @return the server. */
+    const boost::asio::ip::tcp::endpoint &server() const
+    {
+        return server_;
+    }
+
+private:
+    class Connection;
+    friend class Connection;
+
+    struct Waiting
+    {
+        HttpRequest request; ///< The request.
+        Duration timeout{0}; ///< Time for the answer.
+        Done done; ///< Gets the result.
+    };
+
+    void next();
+    void onIdle();
+    void dropIdle();
+
+    boost::asio::io_context &context_;
+    boost::asio::ip::tcp::endpoint server_;
+    HttpChannelSettings settings_;
+    std::vector<std::shared_ptr<Connection>> connections_;
+    std::deque<Waiting> waiting_;
+};
+
+}
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core.hpp>
 #include <fmt/format.h>
 #include <optional>
+#include <utility>
 
 namespace medlarmill
 {
@@ -71,20 +72,53 @@
         }
         stream_.expires_never();
         keepAlive_ = parser_->get().keep_alive();
-        handler_.handle(parser_->release(), [weak = weak_from_this()](HttpResponse response) {
-            if (const auto self = weak.lock()) {
-                self->write(std::move(response));
-            }
-        });
-        watch();
+        answered_ = false;
+        handler_.handleWatched(
+            parser_->release(),
+            [weak = weak_from_this()](HttpResponse response) {
+                if (const auto self = weak.lock()) {
+                    self->write(std::move(response));
+                }
+            },
+            gone_);
+        if (!answered_) {
+            watch();
+        }
     }
 
     /** Keeps the session alive while its answer is due, and notices a caller that has gone. */
     void watch()
+    {
+        stream_.socket().async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
+            if (error || self->answered_) {
+                return;
+            }
+            char next = 0;
+            beast::error_code peekError;
+            const std::size_t bytes
+                = self->stream_.socket().receive(boost::asio::buffer(&next, 1), boost::asio::socket_base::message_peek, peekError);
+            if (bytes > 0) {
+                self->keepAlive(); // The next request is here early; it waits for the answer to this one.
+                return;
+            }
+            self->onCallerGone();
+        });
+    }
+
+    void keepAlive()
     {
         stream_.socket().async_wait(boost::asio::ip::tcp::socket::wait_error, [self = shared_from_this()](beast::error_code) {});
     }
 
+    void onCallerGone()
+    {
+        answered_ = true;
+        close();
+        if (const auto gone = std::exchange(gone_, nullptr)) {
+            gone();
+        }
+    }
+
     void refuse(unsigned status, std::string body)
     {
         keepAlive_ = false;
@@ -93,7 +127,13 @@
 
     void write(HttpResponse response)
     {
+        if (answered_ && gone_ == nullptr && !stream_.socket().is_open()) {
+            return;
+        }
+        answered_ = true;
+        gone_ = nullptr;
         response_ = std::move(response);
+        keepAlive_ = keepAlive_ && response_.keep_alive();
         response_.keep_alive(keepAlive_);
         response_.prepare_payload();
         stream_.expires_after(limits_.readTimeout);
@@ -122,6 +162,8 @@
     beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
     HttpResponse response_;
+    std::function<void()> gone_; ///< Tells the handler that the caller has gone.
+    bool answered_ = false;
     bool keepAlive_ = false;
 };
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -27,6 +27,13 @@
     /** Handles a request. @param request the request. @param reply answers it, now or later; nothing happens when the connection has gone.
      */
     virtual void handle(HttpRequest request, HttpReply reply) = 0;
+
+    /** Handles a request of a caller whose leaving matters. @param request the request. @param reply answers it. @param gone filled in by
+     * the handler; called once if the caller closes its connection before the answer. */
+    virtual void handleWatched(HttpRequest request, HttpReply reply, std::function<void()> & /*gone*/)
+    {
+        handle(std::move(request), std::move(reply));
+    }
 };
 
 /** Limits of an HTTP server. */
--- /dev/null
+++ b/src/repeat/endpoint_health.h
@@ -0,0 +1,62 @@
+/** @file endpoint_health.h Judges an endpoint by what its runs do. */
+
+#pragma once
+
+#include "core/time_type.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace medlarmill
+{
+
+/**
+ * Circuit breaker of one endpoint. Failures of several jobs in a row take it out; after a pause it gets one run at a time until one
+ * completes. A job that can never succeed does not take it out by itself.
+ */
+class EndpointHealth
+{
+public:
+    /** A run completed. @param expected expected run time. @param actual measured run time. */
+    void onDone(Duration expected, Duration actual);
+
+    /** A run failed or stood still. @param submission its job. @param now the present. @return whether the endpoint was taken out now. */
+    bool onFailure(std::string_view submission, Instant now);
+
+    /** The endpoint refused a start as unhealthy. @param now the present. */
+    void onRefusal(Instant now);
+
+    /** Forgets everything: a new incarnation. */
+    void reset();
+
+    /** @param now the present. @return whether the endpoint gets no work at all. */
+    bool isOut(Instant now) const
+    {
+        return now < outUntil_;
+    }
+
+    /** @return whether the endpoint gets one run at a time. */
+    bool isOnTrial() const
+    {
+        return onTrial_;
+    }
+
+    /** @return measured run time against expected run time; 1 is as expected. */
+    double slowdown() const
+    {
+        return slowdown_;
+    }
+
+private:
+    void takeOut(Instant now);
+
+    std::uint32_t failedJobs_ = 0; ///< Different jobs that failed since the last completion.
+    std::string lastFailed_;
+    bool onTrial_ = false;
+    Instant outUntil_;
+    Duration pause_{0};
+    double slowdown_ = 1;
+};
+
+}
--- /dev/null
+++ b/src/repeat/repeat_agent.cpp
@@ -0,0 +1,505 @@
+/** @file repeat_agent.cpp Decisions of the agent about repeatable jobs: orders, starts, stops. */
+
+#include "repeat/repeat_agent.h"
+
+#include "core/reason_table.h"
+
+#include <fmt/format.h>
+
+namespace medlarmill
+{
+
+namespace
+{
+
+constexpr Duration START_TIMEOUT = Millis(120); ///< Time for the endpoint beside the agent to answer a start.
+constexpr Duration STOP_TIMEOUT = Millis(120); ///< Time for it to answer a stop.
+constexpr std::size_t QUEUE_LIMIT = 6; ///< Orders that may wait for room; covers orders of several entries that cross.
+constexpr Duration NO_ROOM_PAUSE = Millis(10); ///< Pause of starts after the endpoint refused one for want of room.
+constexpr Duration ENDED_KEPT = Millis(3'000); ///< How long ends are repeated to an entry whose link comes up again.
+constexpr std::size_t ENDED_LIMIT = 2'000; ///< Ends kept at most.
+constexpr std::uint32_t ATTEMPT_STEP = 16; ///< Added to an attempt that the endpoint calls old.
+constexpr std::uint32_t TRIAL_CPU = 8'000; ///< Room offered while the endpoint is on trial, in thousandths of a core.
+constexpr Duration BUSY_REPORT = Millis(100); ///< Time between load reports to an entry that has runs here.
+constexpr Duration IDLE_REPORT = Millis(150); ///< Time between load reports to other entries.
+constexpr Duration DIRTY_REPORT = Millis(15); ///< Least time between load reports about changes.
+
+std::string describe(const RunName &name)
+{
+    return fmt::format("id={} group={} index={} attempt={}", name.submission, name.group, name.index, name.attempt);
+}
+
+}
+
+RepeatAgent::RepeatAgent(RepeatAgentSettings settings, LinkOutput &links, EndpointPort &endpoint, DecisionLog &log)
+    : settings_(std::move(settings))
+    , links_(links)
+    , endpoint_(endpoint)
+    , log_(log)
+{ }
+
+std::uint64_t RepeatAgent::stampOf(Instant now)
+{
+    return toMillis(now.time_since_epoch());
+}
+
+void RepeatAgent::onEntryUp(Incarnation entry, Instant now)
+{
+    now_ = now;
+    EntryLink &link = entries_[entry];
+    link.up = true;
+    link.dirty = true;
+    repeat::Message message;
+    repeat::AgentHello *hello = message.mutable_agent_hello();
+    hello->set_incarnation(toWire(settings_.incarnation));
+    hello->set_name(settings_.name);
+    hello->set_zone(settings_.zone);
+    hello->set_entry(toWire(entry));
+    for (const auto &[key, run] : runs_) {
+        if (key.first != entry) {
+            continue;
+        }
+        repeat::RunReport *report = hello->add_runs();
+        report->set_order(static_cast<std::uint64_t>(key.second));
+        report->set_outcome(repeat::RUN_HELD);
+    }
+    for (const Ended &ended : ended_) {
+        if (ended.key.first == entry) {
+            *hello->add_runs() = ended.report;
+        }
+    }
+    links_.sendTo(entry, std::move(message));
+    link.reportedAt = now - IDLE_REPORT;
+    reportLoad(now);
+}
+
+void RepeatAgent::onEntryDown(Incarnation entry, bool processGone, Instant now)
+{
+    now_ = now;
+    const auto found = entries_.find(entry);
+    if (found == entries_.end()) {
+        return;
+    }
+    found->second.up = false;
+    if (processGone) {
+        found->second.provedAt = Instant();
+        dropOrphans(now);
+    }
+}
+
+void RepeatAgent::onEntryMessage(Incarnation entry, const repeat::Message &message, Instant now)
+{
+    now_ = now;
+    const auto found = entries_.find(entry);
+    if (found == entries_.end()) {
+        return;
+    }
+    EntryLink &link = found->second;
+    const auto prove = [&link](std::uint64_t stamp) {
+        link.provedAt = std::max(link.provedAt, Instant(Millis(stamp)));
+    };
+    if (message.has_run_order()) {
+        prove(message.run_order().stamp());
+        onOrder(entry, message.run_order(), now);
+    } else if (message.has_run_cancel()) {
+        for (const std::uint64_t order : message.run_cancel().orders()) {
+            const RunKey key{entry, static_cast<OrderId>(order)};
+            const auto run = runs_.find(key);
+            if (run == runs_.end()) {
+                continue;
+            }
+            stop(key, run->second, Reason::StoppedByOrder, now);
+        }
+        startQueued(now);
+    } else if (message.has_entry_ping()) {
+        prove(message.entry_ping().stamp());
+    }
+    reportLoad(now);
+}
+
+bool RepeatAgent::isAccepting(Instant now) const
+{
+    return notice_.has_value() && !notice_->draining && !notice_->gone && !draining_ && responsive_ && !health_.isOut(now);
+}
+
+Demand RepeatAgent::freeRoom() const
+{
+    Demand room = notice_.has_value() ? notice_->capacity : Demand();
+    room.take(used_);
+    room.take(queuedDemand_);
+    return room;
+}
+
+Reason RepeatAgent::refusalOf(Incarnation entry, const repeat::RunOrder &order, Instant now) const
+{
+    if (Instant(Millis(order.stamp())) + settings_.entrySilence < now) {
+        return Reason::StaleLease;
+    }
+    if (!notice_.has_value() || notice_->gone) {
+        return Reason::EndpointAbsent;
+    }
+    if (notice_->draining || draining_) {
+        return Reason::Leaving;
+    }
+    if (!isAccepting(now) || (health_.isOnTrial() && !runs_.empty())) {
+        return Reason::EndpointUnhealthy;
+    }
+    const auto next = byName_.lower_bound({order.submission(), order.group(), order.index(), 0});
+    if (next != byName_.end() && next->first.submission == order.submission() && next->first.group == order.group()
+        && next->first.index == order.index()) {
+        return Reason::DuplicateStart;
+    }
+    const Demand demand{order.cpu(), order.mem(), order.gpu()};
+    if (!demand.fitsInto(notice_->capacity) || (!demand.fitsInto(freeRoom()) && queue_.size() >= QUEUE_LIMIT)) {
+        return Reason::NoRoom;
+    }
+    return runs_.contains({entry, static_cast<OrderId>(order.order())}) ? Reason::DuplicateStart : Reason::None;
+}
+
+void RepeatAgent::onOrder(Incarnation entry, const repeat::RunOrder &order, Instant now)
+{
+    const RunKey key{entry, static_cast<OrderId>(order.order())};
+    EntryLink &link = entries_[entry];
+    link.lastOrder = std::max(link.lastOrder, key.second);
+    const Reason refusal = refusalOf(entry, order, now);
+    if (refusal != Reason::None) {
+        counters_.add("agent_orders_refused", refusal);
+        log_.note(fmt::format("event=order_refused id={} group={} index={} attempt={} entry={:016x} reason={} stamp_age_ms={} free_cpu={}",
+                              order.submission(), order.group(), order.index(), order.attempt(), toWire(entry), reasonInfo(refusal).code,
+                              stampOf(now) - order.stamp(), freeRoom().cpu));
+        repeat::Message message;
+        repeat::RunReport *report = message.mutable_run_report();
+        report->set_order(order.order());
+        report->set_outcome(repeat::RUN_NOT_STARTED);
+        report->set_reason(static_cast<std::uint32_t>(refusal));
+        link.urgent = true;
+        link.dirty = true;
+        links_.sendTo(entry, std::move(message));
+        return;
+    }
+    Run run;
+    run.name = {order.submission(), order.group(), order.index(), order.attempt()};
+    run.spec = order.spec();
+    run.demand = {order.cpu(), order.mem(), order.gpu()};
+    run.rank = now + Millis(order.rank_ms());
+    run.deadline = now + Millis(order.time_left_ms());
+    run.expected = Millis(order.expected_ms());
+    run.arrivedAt = now;
+    queuedDemand_.give(run.demand);
+    queue_.insert({run.rank, key});
+    byName_[run.name] = key;
+    runs_.emplace(key, std::move(run));
+    counters_.add("agent_orders_accepted");
+    markDirty();
+    startQueued(now);
+}
+
+void RepeatAgent::startQueued(Instant now)
+{
+    if (!notice_.has_value() || !responsive_ || now < blockedUntil_) {
+        return;
+    }
+    auto next = queue_.begin();
+    while (next != queue_.end()) {
+        const RunKey key = next->second;
+        Run &run = runs_.at(key);
+        Demand room = notice_->capacity;
+        room.take(used_);
+        if (!run.demand.fitsInto(room)) {
+            ++next;
+            continue;
+        }
+        next = queue_.erase(next);
+        queuedDemand_.take(run.demand);
+        used_.give(run.demand);
+        start(key, run, now);
+    }
+}
+
+EndpointCall RepeatAgent::makeCall(bool extendLease, Instant now)
+{
+    EndpointCall call;
+    call.address = notice_->address;
+    call.endpointId = notice_->id;
+    call.fencingToken = fencingToken_;
+    if (extendLease) {
+        call.leaseUntilMs = clockMs_ + toMillis(now - clockAt_) + toMillis(settings_.lease);
+        // The endpoint's clock may be 2% slow.
+        leaseEnd_ = std::max(leaseEnd_, now + settings_.lease + settings_.lease / 50);
+    }
+    return call;
+}
+
+void RepeatAgent::start(const RunKey &key, Run &run, Instant now)
+{
+    run.state = RunState::Starting;
+    EndpointCall call = makeCall(true, now);
+    call.timeout = START_TIMEOUT;
+    run.lastLeaseEnd = leaseEnd_;
+    counters_.add("agent_starts");
+    const std::uint64_t generation = generation_;
+    endpoint_.start(call, run.name, run.spec, [this, key, generation](const EndpointAnswer &answer) {
+        now_ = answer.at;
+        if (generation == generation_) {
+            onStartAnswer(key, answer);
+        }
+    });
+}
+
+void RepeatAgent::onStartAnswer(const RunKey &key, const EndpointAnswer &answer)
+{
+    const auto found = runs_.find(key);
+    if (found == runs_.end()) {
+        return;
+    }
+    Run &run = found->second;
+    learnClock(answer.clockMs, now_);
+    switch (answer.status) {
+    case EndpointCallStatus::Accepted:
+        if (run.state == RunState::Starting) {
+            run.state = RunState::Running;
+            run.startedAt = std::min(run.startedAt, now_);
+            log_.note(fmt::format("event=run_started {} entry={:016x} waited_ms={} used_cpu={}", describe(run.name), toWire(key.first),
+                                  toMillis(now_ - run.arrivedAt), used_.cpu));
+        }
+        if (run.stopWanted) {
+            stop(key, run, run.reason, now_);
+        }
+        break;
+    case EndpointCallStatus::NoRoom:
+        blockedUntil_ = now_ + NO_ROOM_PAUSE;
+        finish(key, repeat::RUN_NOT_STARTED, Reason::NoRoom, now_);
+        break;
+    case EndpointCallStatus::TooLate:
+        finish(key, repeat::RUN_NOT_STARTED, Reason::StaleLease, now_);
+        break;
+    case EndpointCallStatus::OldAttempt:
+        finish(key, repeat::RUN_NOT_STARTED, Reason::OldAttempt, now_, run.name.attempt + ATTEMPT_STEP);
+        break;
+    case EndpointCallStatus::Fenced:
+        fencingToken_ = std::max(fencingToken_ + 1, answer.clockMs);
+        log_.warn(fmt::format("event=fenced endpoint={} new_token={}", notice_->id, fencingToken_));
+        finish(key, repeat::RUN_NOT_STARTED, Reason::Fenced, now_);
+        break;
+    case EndpointCallStatus::Unhealthy:
+        health_.onRefusal(now_);
+        log_.warn(fmt::format("event=endpoint_out endpoint={} reason=refused_as_unhealthy", notice_->id));
+        finish(key, repeat::RUN_NOT_STARTED, Reason::EndpointUnhealthy, now_);
+        break;
+    case EndpointCallStatus::Malformed:
+        finish(key, repeat::RUN_FAILED, Reason::Malformed, now_);
+        break;
+    case EndpointCallStatus::OtherIncarnation:
+    case EndpointCallStatus::ConnectionRefused:
+        loseAll(Reason::EndpointRestarted, now_);
+        break;
+    case EndpointCallStatus::NoAnswer:
+        counters_.add("agent_starts_unanswered");
+        log_.warn(fmt::format("event=start_unanswered {} state={}", describe(run.name),
+                              run.state == RunState::Running ? "seen_running" : "unknown"));
+        if (run.state == RunState::Starting) {
+            stop(key, run, Reason::NoAnswer, now_);
+        }
+        break;
+    }
+    startQueued(now_);
+    reportLoad(now_);
+}
+
+void RepeatAgent::stop(const RunKey &key, Run &run, Reason reason, Instant now)
+{
+    run.reason = run.reason == Reason::None ? reason : run.reason;
+    switch (run.state) {
+    case RunState::Queued:
+        finish(key, repeat::RUN_NOT_STARTED, reason, now);
+        return;
+    case RunState::Starting:
+        if (reason != Reason::NoAnswer) {
+            run.stopWanted = true;
+            return;
+        }
+        break;
+    case RunState::Stopping:
+        return;
+    case RunState::Running:
+        break;
+    }
+    run.state = RunState::Stopping;
+    log_.note(fmt::format("event=run_stop {} reason={} ran_ms={}", describe(run.name), reasonInfo(reason).code,
+                          run.startedAt == NEVER ? 0 : toMillis(now - run.startedAt)));
+    counters_.add("agent_stops", reason);
+    sendStop(key, run, now);
+}
+
+void RepeatAgent::sendStop(const RunKey &key, Run &run, Instant now)
+{
+    if (!notice_.has_value() || run.stopPending) {
+        return;
+    }
+    run.stopPending = true;
+    run.nextStop = now + STOP_TIMEOUT;
+    EndpointCall call = makeCall(false, now);
+    call.timeout = STOP_TIMEOUT;
+    const std::uint64_t generation = generation_;
+    endpoint_.stop(call, run.name, [this, key, generation](const EndpointAnswer &answer) {
+        now_ = answer.at;
+        const auto found = runs_.find(key);
+        if (generation != generation_ || found == runs_.end()) {
+            return;
+        }
+        found->second.stopPending = false;
+        if (answer.status == EndpointCallStatus::Accepted) {
+            learnClock(answer.clockMs, now_);
+            found->second.stopAcceptedAt = std::min(found->second.stopAcceptedAt, now_);
+        } else if (answer.status == EndpointCallStatus::Fenced) {
+            fencingToken_ = std::max(fencingToken_ + 1, answer.clockMs);
+        } else if (answer.status == EndpointCallStatus::OtherIncarnation || answer.status == EndpointCallStatus::ConnectionRefused) {
+            loseAll(Reason::EndpointRestarted, now_);
+        }
+    });
+}
+
+void RepeatAgent::stopForeign(const RunName &name, Instant now)
+{
+    counters_.add("agent_foreign_runs");
+    log_.warn(fmt::format("event=foreign_run_stop {} endpoint={}", describe(name), notice_->id));
+    EndpointCall call = makeCall(false, now);
+    call.timeout = STOP_TIMEOUT;
+    endpoint_.stop(call, name, [](const EndpointAnswer &) {});
+}
+
+void RepeatAgent::finish(const RunKey &key, repeat::RunOutcome outcome, Reason reason, Instant now, std::uint32_t attemptFloor)
+{
+    const auto found = runs_.find(key);
+    const Run &run = found->second;
+    repeat::Message message;
+    repeat::RunReport *report = message.mutable_run_report();
+    report->set_order(static_cast<std::uint64_t>(key.second));
+    report->set_outcome(outcome);
+    report->set_reason(static_cast<std::uint32_t>(reason));
+    report->set_attempt_floor(attemptFloor);
+    const Duration ran = run.startedAt == NEVER ? Duration(0) : now - run.startedAt;
+    report->set_run_ms(static_cast<std::uint32_t>(toMillis(ran)));
+    log_.note(fmt::format("event=run_over {} entry={:016x} outcome={} reason={} ran_ms={} expected_ms={}", describe(run.name),
+                          toWire(key.first), static_cast<int>(outcome), reasonInfo(reason).code, toMillis(ran), toMillis(run.expected)));
+    counters_.add(outcome == repeat::RUN_DONE ? "agent_runs_done" : "agent_runs_not_done");
+    if (run.state == RunState::Queued) {
+        queue_.erase({run.rank, key});
+        queuedDemand_.take(run.demand);
+    } else {
+        used_.take(run.demand);
+    }
+    byName_.erase(run.name);
+    ended_.push_back({key, *report, now});
+    if (ended_.size() > ENDED_LIMIT) {
+        ended_.pop_front();
+    }
+    runs_.erase(found);
+    entries_[key.first].urgent = true;
+    markDirty();
+    links_.sendTo(key.first, std::move(message));
+}
+
+void RepeatAgent::dropOrphans(Instant now)
+{
+    std::vector<RunKey> orphans;
+    for (const auto &[key, run] : runs_) {
+        if (run.state == RunState::Stopping) {
+            continue;
+        }
+        const bool silent = entries_[key.first].provedAt + settings_.entrySilence < now;
+        if (silent || run.deadline <= now) {
+            orphans.push_back(key);
+        }
+    }
+    for (const RunKey &key : orphans) {
+        const auto run = runs_.find(key);
+        if (run == runs_.end()) {
+            continue;
+        }
+        stop(key, run->second, run->second.deadline <= now ? Reason::TimeUp : Reason::StaleLease, now);
+    }
+}
+
+void RepeatAgent::markDirty()
+{
+    for (auto &[incarnation, link] : entries_) {
+        link.dirty = true;
+    }
+}
+
+void RepeatAgent::reportLoad(Instant now)
+{
+    absl::btree_set<Incarnation> busy;
+    for (const auto &[key, run] : runs_) {
+        busy.insert(key.first);
+    }
+    for (auto &[incarnation, link] : entries_) {
+        if (!link.up) {
+            continue;
+        }
+        const Duration age = now - link.reportedAt;
+        const bool due = age >= (busy.contains(incarnation) ? BUSY_REPORT : IDLE_REPORT);
+        if (!due && !link.urgent && !(link.dirty && age >= DIRTY_REPORT)) {
+            continue;
+        }
+        link.reportedAt = now;
+        link.urgent = false;
+        link.dirty = false;
+        repeat::Message message;
+        repeat::LoadReport *report = message.mutable_load_report();
+        report->set_stamp(stampOf(now));
+        report->set_last_order(static_cast<std::uint64_t>(link.lastOrder));
+        if (notice_.has_value()) {
+            const Demand room = freeRoom();
+            const bool trialTaken = health_.isOnTrial() && !runs_.empty();
+            report->set_service(notice_->service);
+            report->set_accepting(isAccepting(now) && !trialTaken);
+            report->set_cpu_total(notice_->capacity.cpu);
+            report->set_cpu_free(health_.isOnTrial() ? std::min(room.cpu, TRIAL_CPU) : room.cpu);
+            report->set_mem_free(room.memMb);
+            report->set_gpu_free(room.gpu);
+            report->set_queued(static_cast<std::uint32_t>(queue_.size()));
+            report->set_slowdown_percent(static_cast<std::uint32_t>(health_.slowdown() * 100));
+            for (const std::string &label : notice_->labels) {
+                report->add_labels(label);
+            }
+        }
+        links_.sendTo(incarnation, std::move(message));
+    }
+}
+
+void RepeatAgent::startDraining(Instant now)
+{
+    now_ = now;
+    draining_ = true;
+    markDirty();
+    reportLoad(now);
+}
+
+void RepeatAgent::tick(Instant now)
+{
+    now_ = now;
+    dropOrphans(now);
+    for (auto &[key, run] : runs_) {
+        if (run.state == RunState::Stopping && run.stopAcceptedAt == NEVER && now >= run.nextStop) {
+            sendStop(key, run, now);
+        }
+    }
+    while (!ended_.empty() && ended_.front().at + ENDED_KEPT < now) {
+        ended_.pop_front();
+    }
+    for (auto entry = entries_.begin(); entry != entries_.end();) {
+        const auto firstRun = runs_.lower_bound({entry->first, OrderId{0}});
+        const bool hasRuns = firstRun != runs_.end() && firstRun->first.first == entry->first;
+        const bool forgotten = !entry->second.up && !hasRuns && entry->second.provedAt + ENDED_KEPT < now;
+        entry = forgotten ? entries_.erase(entry) : std::next(entry);
+    }
+    startQueued(now);
+    if (!lookPending_ && now >= nextLook_) {
+        look(now);
+    }
+    reportLoad(now);
+}
+
+}
--- /dev/null
+++ b/src/repeat/repeat_agent.h
@@ -0,0 +1,180 @@
+/** @file repeat_agent.h Decisions of the agent about repeatable jobs: what starts at the endpoint, under which lease, and what is stopped.
+ */
+
+#pragma once
+
+#include "core/counters.h"
+#include "repeat/decision_log.h"
+#include "repeat/endpoint_health.h"
+#include "repeat/endpoint_port.h"
+#include "repeat/repeat_output.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+#include <deque>
+#include <optional>
+
+namespace medlarmill
+{
+
+/** Settings of a RepeatAgent. */
+struct RepeatAgentSettings
+{
+    std::string name; ///< Name of the agent.
+    std::string zone; ///< Availability zone.
+    Incarnation incarnation = INVALID_INCARNATION; ///< This life.
+    Duration lease = Millis(500); ///< Lease of everything that runs at the endpoint.
+    Duration entrySilence = Millis(390); ///< Runs of an entry that has not proved its life for so long are stopped.
+    Duration stopTime = Millis(50); ///< Longest time that a stop takes at the endpoint.
+};
+
+/**
+ * State machine of one agent. A run exists at the endpoint only while the agent extends the lease and the entry that ordered it proves its
+ * life by quoting a recent stamp; so it is over within `entrySilence`, the lease and `stopTime` after either has gone.
+ */
+class RepeatAgent
+{
+public:
+    /** @param settings the settings. @param links sends to entries. @param endpoint calls the endpoint. @param log receives decisions. The
+     * three must outlive the agent. */
+    RepeatAgent(RepeatAgentSettings settings, LinkOutput &links, EndpointPort &endpoint, DecisionLog &log);
+
+    /** A link to an entry is up. @param entry the entry. @param now the present. */
+    void onEntryUp(Incarnation entry, Instant now);
+
+    /** A link is down. @param entry the entry. @param processGone whether the entry's process has certainly ended. @param now the present.
+     */
+    void onEntryDown(Incarnation entry, bool processGone, Instant now);
+
+    /** A message arrived. @param entry the sender. @param message the message. @param now the present. */
+    void onEntryMessage(Incarnation entry, const repeat::Message &message, Instant now);
+
+    /** The endpoint said something of itself. @param notice what. @param now the present. @return whether it was taken in. */
+    bool onNotice(const EndpointNotice &notice, Instant now);
+
+    /** Time passed. @param now the present. */
+    void tick(Instant now);
+
+    /** Takes no further work. @param now the present. */
+    void startDraining(Instant now);
+
+    /** @return runs that are not over. */
+    std::size_t held() const
+    {
+        return runs_.size();
+    }
+
+    /** @return event counters. */
+    const Counters &counters() const
+    {
+        return counters_;
+    }
+
+    /** @return room that is not taken. */
+    Demand freeRoom() const;
+
+    /** @return the endpoint, if any is known. */
+    const std::optional<EndpointNotice> &endpoint() const
+    {
+        return notice_;
+    }
+
+private:
+    enum class RunState : std::uint8_t {
+        Queued, ///< Waits for room; the endpoint knows nothing of it.
+        Starting, ///< The start is under way.
+        Running, ///< The endpoint has accepted it.
+        Stopping, ///< A stop is under way or was accepted; its end is not certain yet.
+    };
+
+    using RunKey = std::pair<Incarnation, OrderId>; ///< Entry and its order.
+
+    struct Run
+    {
+        RunName name; ///< Task and attempt.
+        std::string spec; ///< Input.
+        Demand demand; ///< Room.
+        RunState state = RunState::Queued; ///< Where it stands.
+        Instant rank; ///< Place in the queue.
+        Instant deadline; ///< It is stopped then.
+        Duration expected{0}; ///< Expected run time.
+        Instant arrivedAt; ///< When the order came.
+        Instant startedAt = NEVER; ///< When the endpoint accepted it or listed it first.
+        Instant stopAcceptedAt = NEVER; ///< When the endpoint accepted the stop.
+        Instant nextStop; ///< When the stop is sent again.
+        Instant lastLeaseEnd; ///< After this instant a delayed start is refused by the endpoint.
+        Reason reason = Reason::None; ///< Why it is stopped.
+        bool stopWanted = false; ///< To be stopped as soon as its start is answered.
+        bool stopPending = false; ///< A stop call waits for its answer.
+    };
+
+    struct EntryLink
+    {
+        bool up = false; ///< There is a link.
+        Instant provedAt; ///< Issue of the newest stamp that it quoted.
+        OrderId lastOrder = INVALID_ORDER_ID; ///< Highest order received.
+        Instant reportedAt; ///< Last load report.
+        bool dirty = true; ///< The load has changed since.
+        bool urgent = false; ///< A run of this entry ended in this turn.
+    };
+
+    struct Ended
+    {
+        RunKey key; ///< The run.
+        repeat::RunReport report; ///< What was reported.
+        Instant at; ///< When.
+    };
+
+    void onOrder(Incarnation entry, const repeat::RunOrder &order, Instant now);
+    Reason refusalOf(Incarnation entry, const repeat::RunOrder &order, Instant now) const;
+    void startQueued(Instant now);
+    void start(const RunKey &key, Run &run, Instant now);
+    void onStartAnswer(const RunKey &key, const EndpointAnswer &answer);
+    void stop(const RunKey &key, Run &run, Reason reason, Instant now);
+    void sendStop(const RunKey &key, Run &run, Instant now);
+    void stopForeign(const RunName &name, Instant now);
+    void look(Instant now);
+    void onView(std::uint64_t generation, Instant sentAt, const EndpointView &view);
+    void takeEnds(const EndpointView &view, Instant now);
+    void compareWithList(const EndpointView &view, Instant sentAt, Instant now);
+    void onEnd(const RunKey &key, const RunEnd &end, Instant now);
+    void finish(const RunKey &key, repeat::RunOutcome outcome, Reason reason, Instant now, std::uint32_t attemptFloor = 0);
+    void loseAll(Reason reason, Instant now);
+    void dropOrphans(Instant now);
+    void reportLoad(Instant now);
+    void markDirty();
+    void learnClock(std::uint64_t clockMs, Instant now);
+    bool isAccepting(Instant now) const;
+    EndpointCall makeCall(bool extendLease, Instant now);
+    static std::uint64_t stampOf(Instant now);
+
+    RepeatAgentSettings settings_;
+    LinkOutput &links_;
+    EndpointPort &endpoint_;
+    DecisionLog &log_;
+    absl::btree_map<Incarnation, EntryLink> entries_;
+    absl::btree_map<RunKey, Run> runs_;
+    absl::btree_map<RunName, RunKey> byName_;
+    absl::btree_set<std::pair<Instant, RunKey>> queue_;
+    std::deque<Ended> ended_; ///< Reported of late; repeated when a link comes up again.
+    Demand used_; ///< Room of all runs that may be at the endpoint.
+    Demand queuedDemand_; ///< Room that queued runs will need.
+    std::optional<EndpointNotice> notice_;
+    std::uint64_t newestBorn_ = 0;
+    std::uint64_t generation_ = 0; ///< Grows with each incarnation of the endpoint.
+    std::uint64_t fencingToken_ = 0;
+    std::uint64_t clockMs_ = 0; ///< Endpoint's clock at clockAt_.
+    Instant clockAt_;
+    std::uint64_t acknowledged_ = 0;
+    bool lookPending_ = false;
+    bool responsive_ = false; ///< The last look was answered.
+    Instant nextLook_;
+    Instant leaseEnd_; ///< No run can be alive after this instant unless the lease is extended again.
+    Instant blockedUntil_; ///< No start before, since the endpoint had no room.
+    EndpointHealth health_;
+    bool draining_ = false;
+    Instant now_; ///< Present of the event that is handled; callbacks of the endpoint use it.
+    Counters counters_;
+};
+
+}
--- /dev/null
+++ b/src/repeat/repeat_agent_view.cpp
@@ -0,0 +1,241 @@
+/** @file repeat_agent_view.cpp Decisions of the agent about repeatable jobs: what the endpoint says of itself and of its runs. */
+
+#include "core/reason_table.h"
+#include "repeat/repeat_agent.h"
+
+#include <fmt/format.h>
+
+namespace medlarmill
+{
+
+namespace
+{
+
+constexpr Millis LOOK_WAIT{150}; ///< How long the endpoint waits for an end before it answers a look.
+constexpr Duration LOOK_TIMEOUT = Millis(330); ///< Time for the answer of a look, the wait included.
+constexpr Duration LOOK_RETRY = Millis(50); ///< Pause before the next look at an endpoint that does not answer.
+constexpr Duration CLOCK_SLACK = Millis(20); ///< Difference that the mapping of clocks may have.
+
+}
+
+bool RepeatAgent::onNotice(const EndpointNotice &notice, Instant now)
+{
+    now_ = now;
+    if (notice.gone) {
+        if (!notice_.has_value() || notice_->id != notice.id) {
+            return false;
+        }
+        log_.note(fmt::format("event=endpoint_gone endpoint={} held={}", notice.id, runs_.size()));
+        notice_->gone = true;
+        loseAll(Reason::EndpointRestarted, now);
+        reportLoad(now);
+        return true;
+    }
+    const bool same = notice_.has_value() && notice.id == notice_->id && notice.bornUnixMs == notice_->bornUnixMs;
+    if (notice.bornUnixMs < newestBorn_ || (same && notice.sequence <= notice_->sequence)) {
+        counters_.add("agent_notices_late");
+        log_.note(
+            fmt::format("event=notice_ignored endpoint={} born={} seq={} reason=late", notice.id, notice.bornUnixMs, notice.sequence));
+        return false;
+    }
+    if (!same) {
+        loseAll(Reason::EndpointRestarted, now);
+        newestBorn_ = notice.bornUnixMs;
+        health_.reset();
+        acknowledged_ = 0;
+        clockMs_ = 0;
+        fencingToken_ = std::max<std::uint64_t>(notice.clockMs, 1);
+        responsive_ = false;
+        lookPending_ = false;
+        nextLook_ = now;
+        log_.note(fmt::format("event=endpoint_up endpoint={} service={} address={} born={} cpu={} mem_mb={} token={}", notice.id,
+                              notice.service, notice.address, notice.bornUnixMs, notice.capacity.cpu, notice.capacity.memMb,
+                              fencingToken_));
+    } else if (notice.draining != notice_->draining) {
+        log_.note(fmt::format("event=endpoint_state endpoint={} draining={} held={}", notice.id, notice.draining, runs_.size()));
+    }
+    notice_ = notice;
+    learnClock(notice.clockMs, now);
+    markDirty();
+    if (!lookPending_ && now >= nextLook_) {
+        look(now);
+    }
+    reportLoad(now);
+    return true;
+}
+
+void RepeatAgent::learnClock(std::uint64_t clockMs, Instant now)
+{
+    if (clockMs > clockMs_) {
+        clockMs_ = clockMs;
+        clockAt_ = now;
+    }
+}
+
+void RepeatAgent::look(Instant now)
+{
+    if (!notice_.has_value() || notice_->gone) {
+        return;
+    }
+    lookPending_ = true;
+    EndpointCall call = makeCall(responsive_ && !runs_.empty(), now);
+    call.timeout = LOOK_TIMEOUT;
+    const std::uint64_t generation = generation_;
+    endpoint_.look(call, acknowledged_, responsive_ ? LOOK_WAIT : Millis(0), [this, generation, now](const EndpointView &view) {
+        now_ = view.answer.at;
+        onView(generation, now, view);
+    });
+}
+
+void RepeatAgent::onView(std::uint64_t generation, Instant sentAt, const EndpointView &view)
+{
+    if (generation != generation_) {
+        return;
+    }
+    lookPending_ = false;
+    const Instant now = now_;
+    switch (view.answer.status) {
+    case EndpointCallStatus::Accepted:
+        if (!responsive_) {
+            responsive_ = true;
+            log_.note(fmt::format("event=endpoint_answers endpoint={} present={}", notice_->id, view.present.size()));
+            markDirty();
+        }
+        if (view.bornUnixMs != 0 && view.bornUnixMs != notice_->bornUnixMs) {
+            log_.warn(fmt::format("event=endpoint_reborn endpoint={} born={}", notice_->id, view.bornUnixMs));
+            notice_->bornUnixMs = std::max(view.bornUnixMs, notice_->bornUnixMs);
+            newestBorn_ = std::max(newestBorn_, notice_->bornUnixMs);
+            notice_->sequence = 0;
+            acknowledged_ = 0;
+            clockMs_ = 0;
+        }
+        learnClock(view.answer.clockMs, now);
+        takeEnds(view, now);
+        compareWithList(view, sentAt, now);
+        nextLook_ = now;
+        break;
+    case EndpointCallStatus::Fenced:
+        fencingToken_ = std::max(fencingToken_ + 1, view.answer.clockMs);
+        log_.warn(fmt::format("event=fenced endpoint={} new_token={}", notice_->id, fencingToken_));
+        nextLook_ = now;
+        break;
+    case EndpointCallStatus::ConnectionRefused:
+    case EndpointCallStatus::OtherIncarnation:
+        loseAll(Reason::EndpointRestarted, now);
+        nextLook_ = now + LOOK_RETRY * 4;
+        break;
+    default:
+        if (responsive_) {
+            responsive_ = false;
+            log_.warn(fmt::format("event=endpoint_silent endpoint={} held={}", notice_->id, runs_.size()));
+            markDirty();
+        }
+        if (now > leaseEnd_ + settings_.stopTime + CLOCK_SLACK) {
+            loseAll(Reason::LeaseLapsed, now);
+        }
+        nextLook_ = now + LOOK_RETRY;
+        break;
+    }
+    startQueued(now);
+    if (!lookPending_ && now >= nextLook_) {
+        look(now);
+    }
+    reportLoad(now);
+}
+
+void RepeatAgent::takeEnds(const EndpointView &view, Instant now)
+{
+    for (const RunEnd &end : view.ended) {
+        if (end.number <= acknowledged_) {
+            continue;
+        }
+        acknowledged_ = end.number;
+        const auto found = byName_.find(end.name);
+        if (found == byName_.end()) {
+            counters_.add("agent_ends_unknown");
+            continue;
+        }
+        onEnd(RunKey(found->second), end, now);
+    }
+}
+
+void RepeatAgent::onEnd(const RunKey &key, const RunEnd &end, Instant now)
+{
+    Run &run = runs_.at(key);
+    run.startedAt = std::min(run.startedAt, now);
+    switch (end.kind) {
+    case RunEndKind::Done:
+        health_.onDone(run.expected, now - run.startedAt);
+        finish(key, repeat::RUN_DONE, Reason::None, now);
+        return;
+    case RunEndKind::Failed:
+        if (health_.onFailure(run.name.submission, now)) {
+            counters_.add("agent_endpoint_out");
+            log_.warn(fmt::format("event=endpoint_out endpoint={} reason=runs_fail last_id={}", notice_->id, run.name.submission));
+        }
+        finish(key, repeat::RUN_FAILED, Reason::TaskFailed, now);
+        return;
+    case RunEndKind::Lapsed:
+        finish(key, repeat::RUN_LOST, Reason::LeaseLapsed, now);
+        return;
+    default:
+        finish(key, repeat::RUN_LOST, run.reason == Reason::None ? Reason::StoppedByOrder : run.reason, now);
+        return;
+    }
+}
+
+void RepeatAgent::compareWithList(const EndpointView &view, Instant sentAt, Instant now)
+{
+    absl::btree_set<RunName> present;
+    for (const PresentRun &item : view.present) {
+        present.insert(item.name);
+        const auto known = byName_.find(item.name);
+        if (known == byName_.end()) {
+            stopForeign(item.name, now);
+            continue;
+        }
+        Run &run = runs_.at(known->second);
+        run.startedAt = std::min(run.startedAt, now);
+        if (run.state == RunState::Starting) {
+            run.state = RunState::Running;
+        }
+    }
+    std::vector<RunKey> missing;
+    for (const auto &[key, run] : runs_) {
+        if (present.contains(run.name)) {
+            continue;
+        }
+        const bool wasRunning = run.state == RunState::Running && run.startedAt < sentAt;
+        const bool wasStopped
+            = run.state == RunState::Stopping && run.stopAcceptedAt != NEVER && run.stopAcceptedAt + settings_.stopTime < sentAt;
+        const bool neverArrived = run.state == RunState::Stopping && run.lastLeaseEnd + CLOCK_SLACK < sentAt;
+        if (wasRunning || wasStopped || neverArrived) {
+            missing.push_back(key);
+        }
+    }
+    for (const RunKey &key : missing) {
+        const Run &run = runs_.at(key);
+        const bool ran = run.startedAt != NEVER;
+        finish(key, ran ? repeat::RUN_LOST : repeat::RUN_NOT_STARTED, run.reason == Reason::None ? Reason::EndpointRestarted : run.reason,
+               now);
+    }
+}
+
+void RepeatAgent::loseAll(Reason reason, Instant now)
+{
+    ++generation_;
+    lookPending_ = false;
+    responsive_ = false;
+    if (!runs_.empty()) {
+        log_.warn(fmt::format("event=runs_lost count={} reason={}", runs_.size(), reasonInfo(reason).code));
+    }
+    while (!runs_.empty()) {
+        const auto first = runs_.begin();
+        const RunKey key = first->first;
+        const bool queued = first->second.state == RunState::Queued;
+        finish(key, queued ? repeat::RUN_NOT_STARTED : repeat::RUN_LOST, reason, now);
+    }
+    markDirty();
+}
+
+}
--- /dev/null
+++ b/src/repeat/repeat_entry.h
@@ -0,0 +1,195 @@
+/** @file repeat_entry.h Decisions of an entry about repeatable jobs: admission, order, placement, retries, answers. */
+
+#pragma once
+
+#include "core/counters.h"
+#include "core/name_map_type.h"
+#include "repeat/decision_log.h"
+#include "repeat/placement.h"
+#include "repeat/repeat_output.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace medlarmill
+{
+
+/** Settings of a RepeatEntry. */
+struct RepeatEntrySettings
+{
+    std::string name; ///< Name of the entry.
+    std::string zone; ///< Availability zone.
+    Incarnation incarnation = INVALID_INCARNATION; ///< This life.
+    Duration deadAfter = Millis(1'050); ///< After so long without a proof of life from here, no run ordered here is alive at an agent.
+    std::size_t maxJobs = 20'000; ///< Jobs that may wait for their end.
+};
+
+/**
+ * State machine of one entry for repeatable jobs. Each entry decides alone on the jobs that its callers hand in; a task is ordered again
+ * only after its last run is over for certain.
+ */
+class RepeatEntry
+{
+public:
+    /** @param settings the settings. @param links sends to agents. @param callers answers callers. @param log receives decisions. The three
+     * must outlive the entry. */
+    RepeatEntry(RepeatEntrySettings settings, LinkOutput &links, CallerOutput &callers, DecisionLog &log);
+
+    /** A caller hands a job in. @param caller the caller. @param job the job. @param now the present. */
+    void submit(CallerToken caller, RepeatJob job, Instant now);
+
+    /** A caller closed its connection. @param caller the caller. @param now the present. */
+    void onCallerGone(CallerToken caller, Instant now);
+
+    /** Cancels a job. @param id the job. @param now the present. @return whether it was known and not over. */
+    bool cancel(const SubmissionId &id, Instant now);
+
+    /** @param id a job. @return whether any of its tasks was ordered; nothing when the job is not known. */
+    std::optional<bool> isRunning(const SubmissionId &id) const;
+
+    /** @param kind a request kind. @return its jobs of which no task was ordered. */
+    std::size_t pending(std::string_view kind) const;
+
+    /** A link to an agent is up. @param hello its first message. @param now the present. */
+    void onAgentUp(const repeat::AgentHello &hello, Instant now);
+
+    /** A link is down. @param agent the agent. @param now the present. */
+    void onAgentDown(Incarnation agent, Instant now);
+
+    /** A message arrived. @param agent the sender. @param message the message. @param now the present. */
+    void onAgentMessage(Incarnation agent, const repeat::Message &message, Instant now);
+
+    /** Messages of one turn have been handed in: orders what can be ordered. @param now the present. */
+    void pump(Instant now);
+
+    /** Time passed. @param now the present. */
+    void tick(Instant now);
+
+    /** Takes no further jobs. */
+    void startDraining()
+    {
+        draining_ = true;
+    }
+
+    /** Answers every open job at once. @param now the present. */
+    void abandonAll(Instant now);
+
+    /** @return jobs that are not over. */
+    std::size_t open() const
+    {
+        return jobs_.size();
+    }
+
+    /** @return what is known of the endpoints. */
+    const Placement &placement() const
+    {
+        return placement_;
+    }
+
+    /** @return event counters. */
+    const Counters &counters() const
+    {
+        return counters_;
+    }
+
+private:
+    enum class TaskState : std::uint8_t {
+        Blocked, ///< An earlier group is not complete.
+        Waiting, ///< Waits for room.
+        Ordered, ///< An order is out.
+        Done, ///< Completed.
+    };
+
+    struct RepeatTask
+    {
+        std::uint32_t group = 0; ///< Group.
+        std::uint32_t index = 0; ///< Within the group.
+        TaskState state = TaskState::Blocked; ///< Where it stands.
+        std::uint32_t attempt = 0; ///< Number of the newest start.
+        std::uint32_t failures = 0; ///< Ends as failed.
+        std::uint32_t losses = 0; ///< Runs lost for other causes.
+        Incarnation avoid = INVALID_INCARNATION; ///< Agent of the newest run that was lost or failed.
+        OrderId order = INVALID_ORDER_ID; ///< When ordered.
+        Incarnation agent = INVALID_INCARNATION; ///< When ordered.
+        Instant notBefore; ///< It is not ordered before.
+    };
+
+    struct Job
+    {
+        RepeatJob body; ///< As submitted.
+        std::vector<CallerToken> callers; ///< Who waits.
+        std::vector<RepeatTask> tasks; ///< All tasks.
+        std::vector<std::uint32_t> groupLeft; ///< Tasks of each group that are not done.
+        std::vector<absl::btree_map<Incarnation, std::uint32_t>> groupAt; ///< Ordered tasks of each group at each agent.
+        std::uint32_t left = 0; ///< Tasks that are not done.
+        std::uint32_t waiting = 0; ///< Tasks in state Waiting.
+        Instant arrivedAt; ///< When it came.
+        Instant deadline; ///< The caller does not wait longer.
+        Instant latestStart; ///< A start after this instant misses the objective.
+        Instant uselessAt; ///< A start after this instant earns nothing.
+        bool mayHaveStarted = false; ///< An order went out and was not refused as not started.
+        bool ordered = false; ///< An order went out.
+        std::uint32_t uncertain = 0; ///< Runs that may have started.
+    };
+
+    using JobRank = std::pair<Instant, JobNumber>; ///< Order of waiting jobs; smaller goes first.
+
+    struct OrderRef
+    {
+        JobNumber job{}; ///< Its job; may be over.
+        std::uint32_t task = 0; ///< Position in the job's tasks.
+        Incarnation agent = INVALID_INCARNATION; ///< Where.
+        Instant sentAt; ///< When.
+    };
+
+    struct KindState
+    {
+        double ratio = 1; ///< Measured run time against declared run time.
+        std::size_t pending = 0; ///< Jobs of which no task was ordered.
+    };
+
+    Reason admissionRefusal(const RepeatJob &job, Instant now, Duration *retryAfter) const;
+    Duration expectedOf(const RepeatJob &job, const TaskGroup &group) const;
+    Duration longestChain(const RepeatJob &job) const;
+    Duration backlogWait(std::string_view service) const;
+    void unblock(Job &job);
+    bool orderTasks(JobNumber number, Job &job, Instant now);
+    void order(JobNumber number, Job &job, std::uint32_t position, Incarnation agent, Instant now);
+    void onRunReport(Incarnation agent, const repeat::RunReport &report, Instant now);
+    void onTaskDone(JobNumber number, Job &job, RepeatTask &task, Instant now);
+    void onTaskNotDone(JobNumber number, Job &job, RepeatTask &task, const repeat::RunReport &report, Instant now);
+    void setWaiting(JobNumber number, Job &job, RepeatTask &task);
+    void loseAgent(Incarnation agent, Instant now);
+    void finish(JobNumber number, JobResult result, Reason reason, Instant now, Duration retryAfter = Duration(0));
+    void answerRefusal(CallerToken caller, const RepeatJob &job, Reason reason, Duration retryAfter);
+    void ping(Incarnation incarnation, AgentStatus &agent, Instant now);
+    void tickAgents(Instant now);
+    void tickJobs(Instant now);
+    JobRank rankOf(JobNumber number, const Job &job) const;
+
+    RepeatEntrySettings settings_;
+    LinkOutput &links_;
+    CallerOutput &callers_;
+    DecisionLog &log_;
+    Placement placement_;
+    absl::btree_map<JobNumber, Job> jobs_;
+    absl::flat_hash_map<SubmissionId, JobNumber> byId_;
+    absl::flat_hash_map<CallerToken, JobNumber> byCaller_;
+    absl::btree_set<JobRank> waiting_; ///< Jobs with waiting tasks that can still meet their objective, by latest start.
+    absl::btree_set<JobRank> late_; ///< Jobs with waiting tasks that cannot.
+    absl::flat_hash_map<OrderId, OrderRef> orders_; ///< Orders that are not over.
+    absl::flat_hash_map<SubmissionId, JobResult> answered_; ///< Recent answers; a copy of the request gets the same.
+    std::deque<std::pair<Instant, SubmissionId>> answeredOrder_;
+    NameMap<KindState> kinds_;
+    std::uint64_t nextJob_ = 1;
+    std::uint64_t nextOrder_ = 1;
+    bool draining_ = false;
+    Instant nextJobTick_;
+    Counters counters_;
+};
+
+}
--- /dev/null
+++ b/src/repeat/repeat_entry_agents.cpp
@@ -0,0 +1,179 @@
+/** @file repeat_entry_agents.cpp Decisions of an entry about repeatable jobs: what agents report, and agents that are lost. */
+
+#include "core/reason_table.h"
+#include "repeat/repeat_entry.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace medlarmill
+{
+
+namespace
+{
+
+constexpr double RATIO_WEIGHT = 0.02; ///< Weight of a new measurement of run time against declared run time.
+constexpr double RATIO_LIMIT = 4; ///< Largest measurement taken in.
+constexpr Duration PING_INTERVAL = Millis(60); ///< Least time between proofs of life to an agent with orders.
+constexpr Duration SILENCE_LIMIT = Millis(350); ///< An agent with orders that is silent for so long gets a new link.
+constexpr Duration IDLE_SILENCE_LIMIT = Millis(1'200); ///< The same for an agent without orders.
+
+}
+
+void RepeatEntry::onAgentUp(const repeat::AgentHello &hello, Instant now)
+{
+    const Incarnation incarnation = toIncarnation(hello.incarnation());
+    AgentStatus &view = placement_.agents()[incarnation];
+    view.name = hello.name();
+    view.zone = hello.zone();
+    view.up = true;
+    view.accepting = false;
+    view.heardAt = now;
+    view.downAt = NEVER;
+    log_.note(fmt::format("event=agent_up agent={} incarnation={:016x} zone={} runs={} outstanding={}", view.name, hello.incarnation(),
+                          view.zone, hello.runs_size(), view.outstanding.size()));
+    absl::btree_set<OrderId> listed;
+    for (const repeat::RunReport &report : hello.runs()) {
+        listed.insert(static_cast<OrderId>(report.order()));
+        if (report.outcome() != repeat::RUN_HELD) {
+            onRunReport(incarnation, report, now);
+        }
+    }
+    // What the agent does not list has never arrived: the old link is closed, and the agent kept every end for longer than that.
+    std::vector<OrderId> missing;
+    for (const auto &[order, demand] : view.outstanding) {
+        if (!listed.contains(order)) {
+            missing.push_back(order);
+        }
+    }
+    for (const OrderId order : missing) {
+        repeat::RunReport report;
+        report.set_order(static_cast<std::uint64_t>(order));
+        report.set_outcome(repeat::RUN_NOT_STARTED);
+        report.set_reason(static_cast<std::uint32_t>(Reason::NeverSeen));
+        onRunReport(incarnation, report, now);
+    }
+}
+
+void RepeatEntry::onAgentDown(Incarnation agent, Instant now)
+{
+    const auto found = placement_.agents().find(agent);
+    if (found == placement_.agents().end() || !found->second.up) {
+        return;
+    }
+    found->second.up = false;
+    found->second.downAt = now;
+    log_.warn(fmt::format("event=agent_down agent={} incarnation={:016x} outstanding={}", found->second.name, toWire(agent),
+                          found->second.outstanding.size()));
+}
+
+void RepeatEntry::onAgentMessage(Incarnation agent, const repeat::Message &message, Instant now)
+{
+    const auto found = placement_.agents().find(agent);
+    if (found == placement_.agents().end()) {
+        return;
+    }
+    found->second.heardAt = now;
+    if (message.has_load_report()) {
+        placement_.onReport(agent, message.load_report());
+        if (!found->second.outstanding.empty() && now >= found->second.provedAt + PING_INTERVAL) {
+            ping(agent, found->second, now);
+        }
+    } else if (message.has_run_report()) {
+        onRunReport(agent, message.run_report(), now);
+    }
+}
+
+void RepeatEntry::onRunReport(Incarnation agent, const repeat::RunReport &report, Instant now)
+{
+    const auto order = orders_.find(static_cast<OrderId>(report.order()));
+    if (order == orders_.end()) {
+        return;
+    }
+    const OrderRef ref = order->second;
+    orders_.erase(order);
+    placement_.agents().at(agent).outstanding.erase(static_cast<OrderId>(report.order()));
+    const auto found = jobs_.find(ref.job);
+    if (found == jobs_.end()) {
+        return;
+    }
+    Job &job = found->second;
+    RepeatTask &task = job.tasks[ref.task];
+    const auto at = job.groupAt[task.group].find(agent);
+    if (at != job.groupAt[task.group].end() && at->second > 0) {
+        --at->second;
+    }
+    if (report.outcome() != repeat::RUN_NOT_STARTED) {
+        job.mayHaveStarted = true;
+    }
+    log_.note(fmt::format("event=task_report id={} group={} index={} attempt={} agent={} outcome={} reason={} run_ms={} order_ms={}",
+                          job.body.id, task.group, task.index, task.attempt, placement_.agents().at(agent).name,
+                          static_cast<int>(report.outcome()), reasonInfo(static_cast<Reason>(report.reason())).code, report.run_ms(),
+                          toMillis(now - ref.sentAt)));
+    if (report.outcome() == repeat::RUN_DONE) {
+        const TaskGroup &group = job.body.groups[task.group];
+        if (group.declared.count() > 0) {
+            const double measured
+                = std::min(RATIO_LIMIT, static_cast<double>(report.run_ms()) * 1'000 / static_cast<double>(group.declared.count()));
+            double &ratio = kinds_[job.body.rule.kind].ratio;
+            ratio += RATIO_WEIGHT * (measured - ratio);
+        }
+        onTaskDone(ref.job, job, task, now);
+        return;
+    }
+    onTaskNotDone(ref.job, job, task, report, now);
+}
+
+void RepeatEntry::ping(Incarnation incarnation, AgentStatus &agent, Instant now)
+{
+    agent.provedAt = now;
+    repeat::Message message;
+    message.mutable_entry_ping()->set_stamp(agent.stamp);
+    links_.sendTo(incarnation, std::move(message));
+}
+
+void RepeatEntry::loseAgent(Incarnation agent, Instant now)
+{
+    AgentStatus &view = placement_.agents().at(agent);
+    std::vector<OrderId> orders;
+    for (const auto &[order, demand] : view.outstanding) {
+        orders.push_back(order);
+    }
+    log_.warn(fmt::format("event=agent_lost agent={} orders={} silent_ms={}", view.name, orders.size(), toMillis(now - view.downAt)));
+    counters_.add("entry_agents_lost");
+    for (const OrderId order : orders) {
+        repeat::RunReport report;
+        report.set_order(static_cast<std::uint64_t>(order));
+        report.set_outcome(repeat::RUN_LOST);
+        report.set_reason(static_cast<std::uint32_t>(Reason::AgentLost));
+        onRunReport(agent, report, now);
+    }
+}
+
+void RepeatEntry::tickAgents(Instant now)
+{
+    std::vector<Incarnation> silent;
+    std::vector<Incarnation> lost;
+    for (const auto &[incarnation, agent] : placement_.agents()) {
+        const Duration limit = agent.outstanding.empty() ? IDLE_SILENCE_LIMIT : SILENCE_LIMIT;
+        const Instant since = agent.outstanding.empty() ? agent.heardAt : std::max(agent.heardAt, agent.busySince);
+        if (agent.up && since + limit < now) {
+            silent.push_back(incarnation);
+        } else if (!agent.up && agent.downAt + settings_.deadAfter < now) {
+            lost.push_back(incarnation);
+        }
+    }
+    for (const Incarnation agent : silent) {
+        log_.warn(fmt::format("event=agent_silent agent={} silent_ms={}", placement_.agents().at(agent).name,
+                              toMillis(now - placement_.agents().at(agent).heardAt)));
+        counters_.add("entry_agents_silent");
+        onAgentDown(agent, now);
+        links_.resetLink(agent);
+    }
+    for (const Incarnation agent : lost) {
+        loseAgent(agent, now);
+        placement_.agents().erase(agent);
+    }
+}
+
+}
--- /dev/null
+++ b/src/repeat/repeat_output.h
@@ -0,0 +1,34 @@
+/** @file repeat_output.h What the decision code for repeatable jobs asks its surroundings to do. */
+
+#pragma once
+
+#include "repeat/repeat_type.h"
+#include "wire/generated/repeat.pb.h"
+
+namespace medlarmill
+{
+
+/** Sends messages between entries and agents. */
+class LinkOutput
+{
+public:
+    virtual ~LinkOutput() = default;
+
+    /** Sends a message; dropped when there is no link. @param peer the receiver. @param message the message. */
+    virtual void sendTo(Incarnation peer, repeat::Message message) = 0;
+
+    /** Resets the link to a process; bytes under way are dropped. @param peer the process. */
+    virtual void resetLink(Incarnation peer) = 0;
+};
+
+/** Answers the callers of an entry. */
+class CallerOutput
+{
+public:
+    virtual ~CallerOutput() = default;
+
+    /** Answers a caller. @param caller the caller. @param outcome the answer. */
+    virtual void answer(CallerToken caller, const JobOutcome &outcome) = 0;
+};
+
+}
--- /dev/null
+++ b/src/table/config_watcher.cpp
@@ -0,0 +1,91 @@
+/** @file config_watcher.cpp Follows the operators' configuration in a shared table. */
+
+#include "table/config_watcher.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace medlarmill
+{
+
+namespace
+{
+
+constexpr Millis WATCH_WAIT{1'000}; ///< A watch answers after so long without a change; bounds the time on a silent connection.
+constexpr Millis FIRST_PAUSE{100}; ///< Pause after the first failure; it doubles.
+constexpr Millis LONGEST_PAUSE{800}; ///< Longest pause; a change has to be in force within 2 s.
+
+}
+
+ConfigWatcher::ConfigWatcher(boost::asio::io_context &context, SharedTable &table, Place place, DecisionLog &log, OnDocument onDocument)
+    : table_(table)
+    , place_(std::move(place))
+    , log_(log)
+    , onDocument_(std::move(onDocument))
+    , timer_(context)
+{ }
+
+void ConfigWatcher::start()
+{
+    list();
+}
+
+void ConfigWatcher::list()
+{
+    table_.list(place_.table, [this](const absl::StatusOr<SharedRows> &rows) {
+        if (!rows.ok()) {
+            onFailure(rows.status());
+            return;
+        }
+        take(*rows);
+        watch();
+    });
+}
+
+void ConfigWatcher::watch()
+{
+    table_.watch(place_.table, since_, WATCH_WAIT, [this](const absl::StatusOr<SharedRows> &rows) {
+        if (absl::IsOutOfRange(rows.status())) {
+            log_.note(fmt::format("event=config_history_gone since={}", since_));
+            list();
+            return;
+        }
+        if (!rows.ok()) {
+            onFailure(rows.status());
+            return;
+        }
+        take(*rows);
+        watch();
+    });
+}
+
+void ConfigWatcher::take(const SharedRows &rows)
+{
+    if (failures_ > 0) {
+        log_.note(fmt::format("event=table_regained failures={} version={}", failures_, rows.version));
+        failures_ = 0;
+    }
+    since_ = std::max(since_, rows.version);
+    for (const SharedRow &row : rows.rows) {
+        if (row.key == place_.key && !row.removed) {
+            onDocument_(row.value);
+        }
+    }
+}
+
+void ConfigWatcher::onFailure(const absl::Status &status)
+{
+    if (failures_ == 0) {
+        log_.warn(fmt::format("event=table_lost error=\"{}\"", std::string(status.message())));
+    }
+    const Millis pause = std::min(LONGEST_PAUSE, FIRST_PAUSE * (1 << std::min(failures_, 3)));
+    ++failures_;
+    timer_.expires_after(pause);
+    timer_.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            list();
+        }
+    });
+}
+
+}
--- /dev/null
+++ b/src/table/config_watcher.h
@@ -0,0 +1,50 @@
+/** @file config_watcher.h Follows the operators' configuration in a shared table. */
+
+#pragma once
+
+#include "repeat/decision_log.h"
+#include "table/shared_table.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <string>
+
+namespace medlarmill
+{
+
+/** Reads one row and every change of it. */
+class ConfigWatcher
+{
+public:
+    using OnDocument = std::function<void(const std::string &)>; ///< Gets each document that was read; may get one twice.
+
+    /** Where the configuration lies. */
+    struct Place
+    {
+        std::string table; ///< Table.
+        std::string key; ///< Row.
+    };
+
+    /** @param context the loop. @param table the tables. @param place the row. @param log receives lost and regained access. @param
+     * onDocument gets documents. */
+    ConfigWatcher(boost::asio::io_context &context, SharedTable &table, Place place, DecisionLog &log, OnDocument onDocument);
+
+    /** Begins. */
+    void start();
+
+private:
+    void list();
+    void watch();
+    void take(const SharedRows &rows);
+    void onFailure(const absl::Status &status);
+
+    SharedTable &table_;
+    Place place_;
+    DecisionLog &log_;
+    OnDocument onDocument_;
+    boost::asio::steady_timer timer_;
+    std::uint64_t since_ = 0;
+    int failures_ = 0;
+};
+
+}
--- a/src/platform/http_table_service.cpp
+++ b/src/table/http_table_service.cpp
@@ -1,6 +1,6 @@
 /** @file http_table_service.cpp The platform's table over HTTP. */
 
-#include "platform/http_table_service.h"
+#include "table/http_table_service.h"
 
 #include "http/client.h"
 
--- a/src/platform/http_table_service.h
+++ b/src/table/http_table_service.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "core/time_type.h"
-#include "platform/table_service.h"
+#include "table/table_service.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
--- a/src/platform/roster_document.cpp
+++ b/src/table/roster_document.cpp
@@ -1,6 +1,6 @@
 /** @file roster_document.cpp The roster as a row of the platform's table. */
 
-#include "platform/roster_document.h"
+#include "table/roster_document.h"
 
 #include <nlohmann/json.hpp>
 
--- a/tests/parser_test.cpp
+++ b/tests/parser_test.cpp
@@ -3,7 +3,7 @@
 #include "config/config_func.h"
 #include "core/hash_func.h"
 #include "http/caller_document.h"
-#include "platform/roster_document.h"
+#include "table/roster_document.h"
 #include "wire/generated/medlarmill.pb.h"
 
 #include <doctest/doctest.h>
