Fix: A job may have run although its agent no longer lists it

Cause: an entry that stood still for 3.5 s got a new link from each agent. Change: the agent says how far back its list is complete; older orders count as lost, not as not run. A request whose caller has already closed its connection is not taken in. tests/repeat: a world of entries, agents and endpoints with leases, fencing, late and unanswered orders, with an oracle; the case failed before (job11 answered as not run after a start) and passes now.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -70,6 +70,10 @@
             close();
             return;
         }
+        if (isClosedByCaller()) {
+            close(); // The request waited here while this process stood still; its caller may have asked elsewhere since.
+            return;
+        }
         stream_.expires_never();
         keepAlive_ = parser_->get().keep_alive();
         answered_ = false;
@@ -86,6 +90,18 @@
         }
     }
 
+    bool isClosedByCaller()
+    {
+        if (buffer_.size() > 0) {
+            return false;
+        }
+        beast::error_code error;
+        stream_.socket().non_blocking(true, error);
+        char next = 0;
+        const std::size_t bytes = stream_.socket().receive(boost::asio::buffer(&next, 1), boost::asio::socket_base::message_peek, error);
+        return bytes == 0 && error != boost::asio::error::would_block;
+    }
+
     /** Keeps the session alive while its answer is due, and notices a caller that has gone. */
     void watch()
     {
--- a/src/repeat/repeat_agent.cpp
+++ b/src/repeat/repeat_agent.cpp
@@ -55,6 +55,7 @@
     hello->set_name(settings_.name);
     hello->set_zone(settings_.zone);
     hello->set_entry(toWire(entry));
+    hello->set_evidence_ms(static_cast<std::uint32_t>(toMillis(std::min(ENDED_KEPT, now - forgottenAt_))));
     for (const auto &[key, run] : runs_) {
         if (key.first != entry) {
             continue;
@@ -392,6 +393,7 @@
     byName_.erase(run.name);
     ended_.push_back({key, *report, now});
     if (ended_.size() > ENDED_LIMIT) {
+        forgottenAt_ = ended_.front().at;
         ended_.pop_front();
     }
     runs_.erase(found);
--- a/src/repeat/repeat_agent.h
+++ b/src/repeat/repeat_agent.h
@@ -157,6 +157,7 @@
     absl::btree_map<RunName, RunKey> byName_;
     absl::btree_set<std::pair<Instant, RunKey>> queue_;
     std::deque<Ended> ended_; ///< Reported of late; repeated when a link comes up again.
+    Instant forgottenAt_; ///< Ends up to here may have been forgotten for want of space.
     Demand used_; ///< Room of all runs that may be at the endpoint.
     Demand queuedDemand_; ///< Room that queued runs will need.
     std::optional<EndpointNotice> notice_;
--- a/src/repeat/repeat_entry_agents.cpp
+++ b/src/repeat/repeat_entry_agents.cpp
@@ -14,6 +14,7 @@
 
 constexpr double RATIO_WEIGHT = 0.02; ///< Weight of a new measurement of run time against declared run time.
 constexpr double RATIO_LIMIT = 4; ///< Largest measurement taken in.
+constexpr Duration EVIDENCE_MARGIN = Millis(300); ///< Age of a hello that waited in a buffer, beside what it says.
 constexpr Duration PING_INTERVAL = Millis(60); ///< Least time between proofs of life to an agent with orders.
 constexpr Duration SILENCE_LIMIT = Millis(350); ///< An agent with orders that is silent for so long gets a new link.
 constexpr Duration IDLE_SILENCE_LIMIT = Millis(1'200); ///< The same for an agent without orders.
@@ -39,18 +40,22 @@
             onRunReport(incarnation, report, now);
         }
     }
-    // What the agent does not list has never arrived: the old link is closed, and the agent kept every end for longer than that.
-    std::vector<OrderId> missing;
+    // The old link is closed, so an order that the agent does not list is not held and will not arrive any more. Without evidence that
+    // reaches back to the order, it may have run and been forgotten.
+    const Instant evidenceFrom = now - Millis(hello.evidence_ms()) + EVIDENCE_MARGIN;
+    std::vector<repeat::RunReport> missing;
     for (const auto &[order, demand] : view.outstanding) {
-        if (!listed.contains(order)) {
-            missing.push_back(order);
+        if (listed.contains(order)) {
+            continue;
         }
-    }
-    for (const OrderId order : missing) {
+        const bool neverSeen = orders_.at(order).sentAt > evidenceFrom;
         repeat::RunReport report;
         report.set_order(static_cast<std::uint64_t>(order));
-        report.set_outcome(repeat::RUN_NOT_STARTED);
-        report.set_reason(static_cast<std::uint32_t>(Reason::NeverSeen));
+        report.set_outcome(neverSeen ? repeat::RUN_NOT_STARTED : repeat::RUN_LOST);
+        report.set_reason(static_cast<std::uint32_t>(neverSeen ? Reason::NeverSeen : Reason::AgentLost));
+        missing.push_back(std::move(report));
+    }
+    for (const repeat::RunReport &report : missing) {
         onRunReport(incarnation, report, now);
     }
 }
--- /dev/null
+++ b/tests/repeat/fake_endpoint.cpp
@@ -0,0 +1,278 @@
+/** @file fake_endpoint.cpp An endpoint with leases, attempts, fencing and late orders. */
+
+#include "fake_endpoint.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace medlarmill::fake
+{
+
+namespace
+{
+
+constexpr std::uint64_t LONGEST_LEASE_MS = 1'000;
+constexpr Duration STOP_TIME = Millis(50);
+
+TaskName taskOf(const RunName &run)
+{
+    return {run.submission, run.group, run.index};
+}
+
+}
+
+void Oracle::violate(std::string what, Instant now)
+{
+    violations.push_back(fmt::format("{} ms: {}", toMillis(now.time_since_epoch()), what));
+}
+
+void Oracle::onStart(int endpoint, const RunName &run, Instant now)
+{
+    ++starts;
+    Task &task = tasks_[taskOf(run)];
+    if (!task.runningAt.empty()) {
+        violate(fmt::format("{}.{}.{} starts at {} while it runs at {}", run.submission, run.group, run.index, endpoint,
+                            *task.runningAt.begin()),
+                now);
+    }
+    task.runningAt.insert(endpoint);
+    JobRecord &job = jobs_[run.submission];
+    job.started = true;
+    job.lastStart = now;
+    if (job.open == 0 && job.completed) {
+        violate(fmt::format("{}.{}.{} starts after its job was answered as complete", run.submission, run.group, run.index), now);
+    }
+}
+
+void Oracle::onEnd(int endpoint, const RunName &run, bool done, Instant now)
+{
+    Task &task = tasks_[taskOf(run)];
+    task.runningAt.erase(endpoint);
+    if (done) {
+        task.lastDone = now;
+    }
+}
+
+void Oracle::onSubmit(const std::string &id, Instant /*now*/)
+{
+    JobRecord &job = jobs_[id];
+    ++job.open;
+    job.completed = false;
+}
+
+void Oracle::onAnswer(const std::string &id, const RepeatJob &job, JobResult result, Instant submittedAt, Instant now)
+{
+    JobRecord &record = jobs_[id];
+    --record.open;
+    record.onlyRefused = record.onlyRefused && result == JobResult::NotRun;
+    refused += result == JobResult::NotRun ? 1 : 0;
+    if (result == JobResult::NotRun && record.lastStart > submittedAt) {
+        violate(fmt::format("{} is answered as not run, and a task started after it was handed in", id), now);
+    }
+    if (result != JobResult::Complete) {
+        return;
+    }
+    ++complete;
+    record.completed = true;
+    for (std::uint32_t group = 0; group < job.groups.size(); ++group) {
+        for (std::uint32_t index = 0; index < job.groups[group].count; ++index) {
+            if (tasks_[{id, group, index}].lastDone == Instant()) {
+                violate(fmt::format("{} is answered as complete, but {}.{} never completed", id, group, index), now);
+            }
+        }
+    }
+}
+
+void Oracle::onBroken(const std::string &id)
+{
+    JobRecord &record = jobs_[id];
+    --record.open;
+    record.onlyRefused = false;
+}
+
+void Oracle::onOverCapacity(int endpoint, Instant now)
+{
+    violate(fmt::format("endpoint {} is over its capacity", endpoint), now);
+}
+
+void Oracle::finish()
+{
+    for (const auto &[id, job] : jobs_) {
+        if (job.started && job.onlyRefused && job.open == 0) {
+            violations.push_back(fmt::format("{} started, and every answer said that it was not run", id));
+        }
+    }
+}
+
+std::uint64_t FakeEndpoint::clock(Instant now) const
+{
+    return 1'000 + static_cast<std::uint64_t>(static_cast<double>(toMillis(now - bornAt_)) * rate);
+}
+
+bool FakeEndpoint::isFenced(const EndpointCall &call)
+{
+    if (call.fencingToken < token_) {
+        return true;
+    }
+    token_ = call.fencingToken;
+    return false;
+}
+
+void FakeEndpoint::extend(const EndpointCall &call)
+{
+    leaseMs_ = std::max(leaseMs_, call.leaseUntilMs);
+}
+
+void FakeEndpoint::end(const RunName &run, RunEndKind kind, Instant now)
+{
+    runs_.erase(run);
+    ends_.push_back({nextEnd_++, run, kind});
+    std::uint32_t &floor = floor_[taskOf(run)];
+    floor = std::max(floor, run.attempt);
+    oracle_.onEnd(number_, run, kind == RunEndKind::Done, now);
+}
+
+void FakeEndpoint::advance(Instant now)
+{
+    std::vector<std::pair<RunName, RunEndKind>> over;
+    const bool lapsed = clock(now) > std::min(leaseMs_, clock(now) + LONGEST_LEASE_MS);
+    for (const auto &[name, run] : runs_) {
+        if (lapsed) {
+            over.emplace_back(name, RunEndKind::Lapsed);
+        } else if (run.end <= now) {
+            over.emplace_back(name, run.stopping ? RunEndKind::Stopped : run.fails ? RunEndKind::Failed : RunEndKind::Done);
+        }
+    }
+    for (const auto &[name, kind] : over) {
+        end(name, kind, now);
+    }
+}
+
+EndpointAnswer FakeEndpoint::start(const EndpointCall &call, const RunName &run, Duration work, bool fails, Demand demand, Instant now)
+{
+    advance(now);
+    EndpointAnswer answer;
+    answer.at = now;
+    answer.clockMs = clock(now);
+    if (call.endpointId != notice(now).id) {
+        answer.status = EndpointCallStatus::OtherIncarnation;
+        return answer;
+    }
+    if (isFenced(call)) {
+        answer.status = EndpointCallStatus::Fenced;
+        return answer;
+    }
+    if (call.leaseUntilMs <= clock(now)) {
+        answer.status = EndpointCallStatus::TooLate;
+        return answer;
+    }
+    answer.status = EndpointCallStatus::Accepted;
+    if (runs_.contains(run)) {
+        extend(call);
+        return answer;
+    }
+    extend(call);
+    if (run.attempt <= floor_[taskOf(run)]) {
+        answer.status = EndpointCallStatus::OldAttempt;
+        return answer;
+    }
+    Demand room = capacity;
+    for (const auto &[name, other] : runs_) {
+        room.take(other.demand);
+    }
+    if (!demand.fitsInto(room)) {
+        if (guards) {
+            answer.status = EndpointCallStatus::NoRoom;
+            return answer;
+        }
+        oracle_.onOverCapacity(number_, now);
+    }
+    runs_[run] = {demand, now + std::chrono::duration_cast<Duration>(work * slow), fails};
+    oracle_.onStart(number_, run, now);
+    return answer;
+}
+
+EndpointAnswer FakeEndpoint::stop(const EndpointCall &call, const RunName &run, Instant now)
+{
+    advance(now);
+    EndpointAnswer answer;
+    answer.at = now;
+    answer.clockMs = clock(now);
+    if (call.endpointId != notice(now).id) {
+        answer.status = EndpointCallStatus::OtherIncarnation;
+        return answer;
+    }
+    if (isFenced(call)) {
+        answer.status = EndpointCallStatus::Fenced;
+        return answer;
+    }
+    answer.status = EndpointCallStatus::Accepted;
+    std::uint32_t &floor = floor_[taskOf(run)];
+    floor = std::max(floor, run.attempt);
+    if (const auto found = runs_.find(run); found != runs_.end()) {
+        found->second.stopping = true;
+        found->second.end = std::min(found->second.end, now + STOP_TIME / 2);
+    }
+    return answer;
+}
+
+EndpointView FakeEndpoint::look(const EndpointCall &call, std::uint64_t acknowledged, Instant now)
+{
+    advance(now);
+    EndpointView view;
+    view.answer.at = now;
+    view.answer.clockMs = clock(now);
+    view.bornUnixMs = notice(now).bornUnixMs;
+    if (call.endpointId != notice(now).id) {
+        view.answer.status = EndpointCallStatus::OtherIncarnation;
+        return view;
+    }
+    if (isFenced(call)) {
+        view.answer.status = EndpointCallStatus::Fenced;
+        return view;
+    }
+    view.answer.status = EndpointCallStatus::Accepted;
+    extend(call);
+    std::erase_if(ends_, [acknowledged](const RunEnd &item) {
+        return item.number <= acknowledged;
+    });
+    for (const auto &[name, run] : runs_) {
+        view.present.push_back({name});
+    }
+    view.ended = ends_;
+    return view;
+}
+
+void FakeEndpoint::crash(Instant now)
+{
+    advance(now);
+    for (const auto &[name, run] : runs_) {
+        oracle_.onEnd(number_, name, false, now);
+    }
+    runs_.clear();
+    floor_.clear();
+    ends_.clear();
+    ++life_;
+    bornAt_ = now;
+    token_ = 0;
+    leaseMs_ = 0;
+    sequence_ = 0;
+    nextEnd_ = 1;
+    draining = false;
+}
+
+EndpointNotice FakeEndpoint::notice(Instant now)
+{
+    EndpointNotice notice;
+    notice.id = sameId ? fmt::format("i-{}", number_) : fmt::format("i-{}-{}", number_, life_);
+    notice.service = "desk";
+    notice.address = "127.0.0.1:1";
+    notice.bornUnixMs = 1 + toMillis(bornAt_.time_since_epoch());
+    notice.sequence = ++sequence_;
+    notice.clockMs = clock(now);
+    notice.capacity = capacity;
+    notice.draining = draining;
+    return notice;
+}
+
+}
--- /dev/null
+++ b/tests/repeat/repeat_world.h
@@ -0,0 +1,150 @@
+/** @file repeat_world.h Entries, agents, endpoints and callers of repeatable jobs over a fake network, driven by one clock. */
+
+#pragma once
+
+#include "fake_endpoint.h"
+#include "repeat/repeat_agent.h"
+#include "repeat/repeat_entry.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+
+namespace medlarmill::fake
+{
+
+/** Kinds of trouble. */
+enum class Trouble : std::uint8_t {
+    KillEntry, ///< The process is killed; connections are reset; a new one comes 300 ms later.
+    PowerOffEntry, ///< As KillEntry, but nobody is told.
+    KillAgent,
+    PowerOffAgent,
+    FreezeEntry, ///< It stands still; its messages wait.
+    FreezeAgent,
+    CutLink, ///< An agent and an entry do not reach each other; no reset.
+    CutAgent, ///< An agent reaches no entry.
+    CrashEndpoint, ///< Its runs are gone; a new incarnation.
+    RebirthEndpoint, ///< The same under the same id.
+    SilentEndpoint, ///< It does not answer, and runs on.
+    LateOrders, ///< A part of the orders is not answered and carried out seconds later.
+    LostAnswers, ///< A part of the orders is carried out and not answered.
+    SlowEndpoint,
+    FailingEndpoint, ///< It fails all that it starts.
+    DrainEndpoint, ///< It leaves after 2 s, and comes back as a new incarnation.
+    KillAll, ///< All entries and agents lose power at once.
+    StopAgent, ///< A planned stop.
+};
+
+constexpr int TROUBLE_KINDS = static_cast<int>(Trouble::StopAgent) + 1;
+
+/** One trouble at one time. */
+struct TroubleEvent
+{
+    Trouble kind = Trouble::KillEntry; ///< What.
+    int atMs = 0; ///< When.
+    int forMs = 0; ///< How long.
+    int target = 0; ///< Which one.
+};
+
+/** Runs a world. */
+class RepeatWorld
+{
+public:
+    RepeatWorld(std::uint64_t seed, int entries, int agents);
+    ~RepeatWorld();
+
+    /** Plays callers and troubles, then heals everything and lets all jobs end. @param troubles the troubles. @param forMs length. @param
+     * jobsPerSecond load. */
+    void play(const std::vector<TroubleEvent> &troubles, int forMs, int jobsPerSecond);
+
+    /** @return the oracle. */
+    Oracle &oracle()
+    {
+        return oracle_;
+    }
+
+    /** @return whether a job handed in after everything has healed was answered as complete in time. */
+    bool recovered() const
+    {
+        return recovered_;
+    }
+
+    /** @return submissions without any answer or broken connection by their deadline and a second. */
+    int unanswered() const
+    {
+        return unanswered_;
+    }
+
+    bool guards = true; ///< Whether endpoints refuse what does not fit.
+    bool trace = false; ///< Prints the decisions.
+    RepeatEntrySettings entrySettings; ///< Settings of every entry; names are filled in.
+    RepeatAgentSettings agentSettings; ///< Settings of every agent; names are filled in.
+
+private:
+    struct EntryNode;
+    struct AgentNode;
+    struct Link;
+    struct Submission;
+    friend struct EntryNode;
+    friend struct AgentNode;
+
+    using Action = std::function<void()>;
+
+    struct Event
+    {
+        Instant at;
+        std::uint64_t sequence;
+        Action action;
+        bool operator<(const Event &other) const
+        {
+            return std::tie(at, sequence) > std::tie(other.at, other.sequence);
+        }
+    };
+
+    void after(Duration delay, Action action);
+    void runUntil(Instant end);
+    Incarnation agentIncarnation(int agent) const;
+    void startEntry(int entry);
+    void startAgent(int agent);
+    void dropEntry(int entry, bool tell);
+    void dropAgent(int agent, bool tell);
+    void linkTick();
+    void coreTick();
+    void noticeTick(int agent);
+    void connect(int agent, int entry);
+    void disconnect(int agent, int entry, bool tellAgent, bool tellEntry);
+    void deliver(int agent, int entry, bool toEntry, repeat::Message message);
+    void submitNew();
+    void submit(const std::string &id, int tries);
+    void giveUp(std::uint64_t token, bool resubmit);
+    void onAnswer(std::uint64_t token, const JobOutcome &outcome);
+    void begin(const TroubleEvent &event);
+    void end(const TroubleEvent &event);
+    RepeatJob makeJob(const std::string &id);
+    bool isFrozen(Instant until) const
+    {
+        return now_ < until;
+    }
+
+    std::mt19937_64 random_;
+    Oracle oracle_;
+    Instant now_;
+    std::uint64_t sequence_ = 0;
+    std::priority_queue<Event> events_;
+    std::vector<std::unique_ptr<EntryNode>> entries_;
+    std::vector<std::unique_ptr<AgentNode>> agents_;
+    std::vector<std::vector<Link>> links_; ///< By agent, then entry.
+    std::map<std::uint64_t, Submission> submissions_;
+    std::map<std::string, RepeatJob> jobs_;
+    std::uint64_t nextToken_ = 1;
+    std::uint64_t nextIncarnation_ = 1;
+    std::uint64_t nextJob_ = 1;
+    bool loading_ = true;
+    bool recovered_ = false;
+    int unanswered_ = 0;
+    std::string probe_;
+};
+
+}
