Fix: A stop signal was missed; links of idle agents were closed every 1.5 s

Ruled out: a second stop, a blocked loop (the log has lines all the while). Change: signal handlers set flags that the ticks read. Entries prove their life to idle agents every 500 ms.

--- a/src/agentd/repeat_agent_process.cpp
+++ b/src/agentd/repeat_agent_process.cpp
@@ -3,6 +3,7 @@
 #include "agentd/repeat_agent_process.h"
 
 #include "daemon/metrics.h"
+#include "daemon/stop_signal.h"
 
 #include <fmt/format.h>
 
@@ -56,6 +57,12 @@
 void RepeatAgentProcess::tick()
 {
     const Instant now = ProcessClock::now();
+    if (isStopRequested()) {
+        stop();
+    }
+    if (takeReloadRequest()) {
+        log_.note("event=reload_asked result=nothing_to_change");
+    }
     core_.tick(now);
     log_.flush();
     const bool stopping = stopAt_ != NEVER;
--- a/src/agentd/repeat_agent_process.h
+++ b/src/agentd/repeat_agent_process.h
@@ -36,9 +36,6 @@
     /** Begins. */
     void start();
 
-    /** Begins a planned stop; the loop ends when it is done. */
-    void stop();
-
     /** The endpoint said something of itself. @param notice what. */
     void onNotice(const EndpointNotice &notice);
 
@@ -54,6 +51,7 @@
 
 private:
     void learnAddresses(const std::vector<std::string> &addresses);
+    void stop();
     void tick();
 
     boost::asio::io_context &context_;
--- a/src/daemon/stop_signal.cpp
+++ b/src/daemon/stop_signal.cpp
@@ -1,4 +1,4 @@
-/** @file stop_signal.cpp SIGTERM and SIGINT as a flag. */
+/** @file stop_signal.cpp Signals as flags that the loops read. */
 
 #include "daemon/stop_signal.h"
 
@@ -13,6 +13,7 @@
 
 // Several threads may run the handler; a lock-free atomic is allowed in it.
 std::atomic<bool> stopRequested{false};
+std::atomic<bool> reloadRequested{false};
 static_assert(std::atomic<bool>::is_always_lock_free);
 
 void onStopSignal(int /*signal*/)
@@ -20,6 +21,11 @@
     stopRequested.store(true);
 }
 
+void onReloadSignal(int /*signal*/)
+{
+    reloadRequested.store(true);
+}
+
 }
 
 void catchStopSignals()
@@ -34,4 +40,14 @@
     return stopRequested.load();
 }
 
+void catchReloadSignal()
+{
+    std::signal(SIGHUP, onReloadSignal);
+}
+
+bool takeReloadRequest()
+{
+    return reloadRequested.exchange(false);
+}
+
 }
--- a/src/daemon/stop_signal.h
+++ b/src/daemon/stop_signal.h
@@ -1,4 +1,4 @@
-/** @file stop_signal.h SIGTERM and SIGINT as a flag. */
+/** @file stop_signal.h Signals as flags that the loops read. */
 
 #pragma once
 
@@ -11,4 +11,10 @@
 /** @return whether a stop was asked for. */
 bool isStopRequested();
 
+/** Makes SIGHUP count instead of ending the process. */
+void catchReloadSignal();
+
+/** @return whether SIGHUP came since the last call. */
+bool takeReloadRequest();
+
 }
--- a/src/entry/repeat_entry_process.cpp
+++ b/src/entry/repeat_entry_process.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/repeat_entry_process.h"
 
+#include "daemon/stop_signal.h"
 #include "net/address.h"
 
 #include <boost/asio/post.hpp>
@@ -224,6 +225,12 @@
 void RepeatEntryProcess::tick()
 {
     const Instant now = ProcessClock::now();
+    if (isStopRequested()) {
+        stop();
+    }
+    if (takeReloadRequest()) {
+        log_.note("event=reload_asked result=nothing_to_change");
+    }
     core_.tick(now);
     if (now >= nextPeerPing_) {
         nextPeerPing_ = now + PEER_PING;
--- a/src/entry/repeat_entry_process.h
+++ b/src/entry/repeat_entry_process.h
@@ -60,9 +60,6 @@
     /** Begins. @return why it failed. */
     absl::Status start();
 
-    /** Begins a planned stop; the loop ends when it is done. */
-    void stop();
-
     /** @return whether callers' new connections are wanted here. */
     bool isReady() const;
 
@@ -97,6 +94,7 @@
     void learnAddresses(const std::vector<std::string> &addresses);
     void sendEntryList(Incarnation peer);
     void pumpSoon();
+    void stop();
     void tick();
     void tickStop(Instant now);
 
--- a/src/repeat/repeat_entry_agents.cpp
+++ b/src/repeat/repeat_entry_agents.cpp
@@ -16,6 +16,7 @@
 constexpr double RATIO_LIMIT = 4; ///< Largest measurement taken in.
 constexpr Duration EVIDENCE_MARGIN = Millis(300); ///< Age of a hello that waited in a buffer, beside what it says.
 constexpr Duration PING_INTERVAL = Millis(60); ///< Least time between proofs of life to an agent with orders.
+constexpr Duration IDLE_PING_INTERVAL = Millis(500); ///< The same without orders; links that are silent for 1.5 s are closed.
 constexpr Duration SILENCE_LIMIT = Millis(350); ///< An agent with orders that is silent for so long gets a new link.
 constexpr Duration IDLE_SILENCE_LIMIT = Millis(1'200); ///< The same for an agent without orders.
 
@@ -81,7 +82,8 @@
     found->second.heardAt = now;
     if (message.has_load_report()) {
         placement_.onReport(agent, message.load_report());
-        if (!found->second.outstanding.empty() && now >= found->second.provedAt + PING_INTERVAL) {
+        const Duration interval = found->second.outstanding.empty() ? IDLE_PING_INTERVAL : PING_INTERVAL;
+        if (now >= found->second.provedAt + interval) {
             ping(agent, found->second, now);
         }
     } else if (message.has_run_report()) {
--- a/tests/repeat/repeat_world.h
+++ b/tests/repeat/repeat_world.h
@@ -144,6 +144,7 @@
     bool loading_ = true;
     bool recovered_ = false;
     int unanswered_ = 0;
+    int resubmitting_ = 0; ///< Jobs that will be handed in again.
     std::string probe_;
 };
 
