--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -28,7 +28,7 @@
 
 # Programs that include HTTP and JSON headers take minutes each in the linter; the decisions and what they use are checked in full.
 check_lint() {
-    own_sources 'src/core/*.cpp' 'src/agent/*.cpp' 'src/home/*.cpp' 'src/net/*.cpp' 'src/daemon/*.cpp' |
+    own_sources 'src/core/*.cpp' 'src/agent/*.cpp' 'src/home/*.cpp' 'src/repeat/*.cpp' 'src/net/*.cpp' 'src/daemon/*.cpp' |
         xargs -P "$jobs" -n 2 clang-tidy -p "$build" --quiet --extra-arg=-Wno-unknown-warning-option
 }
 
@@ -42,7 +42,8 @@
 
 # The sanitized fuzz run is short: the same seed, fewer runs.
 address_tests() {
-    ./unit-tests && RC_PARAMS="seed=20261204 max_success=60 max_size=80" ./fuzz-tests
+    ./unit-tests && ./platform-tests &&
+        RC_PARAMS="seed=20261204 max_success=60 max_size=80" ./fuzz-tests && RC_PARAMS="seed=20261204 max_success=40 max_size=80" ./repeat-tests
 }
 
 thread_tests() {
@@ -58,9 +59,12 @@
 step "lint" check_lint
 step "unit tests" "$build/unit-tests"
 step "fuzz tests" "$build/fuzz-tests"
+step "platform tests" "$build/platform-tests"
+step "repeatable jobs under troubles" "$build/repeat-tests"
 step "demo on real processes" python3 scripts/demo.py "$build"
 step "faults on real processes" python3 tests/faults.py "$build" --tasks 5000
-step "address and undefined behaviour sanitizer" sanitized asan address,undefined "unit-tests fuzz-tests" address_tests
+step "faults on real processes behind a stand-in of the platform" python3 tests/platform_faults.py "$build"
+step "address and undefined behaviour sanitizer" sanitized asan address,undefined "unit-tests platform-tests fuzz-tests repeat-tests" address_tests
 step "thread sanitizer" sanitized tsan thread "unit-tests medlarmill-entry medlarmill-agent medlarmillctl standin-platform standin-endpoint" thread_tests
 echo "known red:"
 known_red
--- a/src/entry/repeat_entry_process.cpp
+++ b/src/entry/repeat_entry_process.cpp
@@ -76,7 +76,7 @@
 
 bool RepeatEntryProcess::isReady() const
 {
-    return stopAt_ == NEVER && callers_.configVersion() != 0;
+    return stopAt_ == NEVER && callers_.configVersion() != 0 && core_.reachesAgents();
 }
 
 void RepeatEntryProcess::submit(CallerToken caller, RepeatJob job)
--- /dev/null
+++ b/src/repeat/outcome_func.h
@@ -0,0 +1,31 @@
+/** @file outcome_func.h Names of outcomes of runs, for logs. */
+
+#pragma once
+
+#include "wire/generated/repeat.pb.h"
+
+#include <string_view>
+
+namespace medlarmill
+{
+
+/** @param outcome an outcome. @return its name. */
+constexpr std::string_view outcomeName(repeat::RunOutcome outcome)
+{
+    switch (outcome) {
+    case repeat::RUN_HELD:
+        return "held";
+    case repeat::RUN_DONE:
+        return "done";
+    case repeat::RUN_FAILED:
+        return "failed";
+    case repeat::RUN_NOT_STARTED:
+        return "not_started";
+    case repeat::RUN_LOST:
+        return "lost";
+    default:
+        return "unknown";
+    }
+}
+
+}
--- a/src/repeat/repeat_agent.cpp
+++ b/src/repeat/repeat_agent.cpp
@@ -3,6 +3,7 @@
 #include "repeat/repeat_agent.h"
 
 #include "core/reason_table.h"
+#include "repeat/outcome_func.h"
 
 #include <fmt/format.h>
 
@@ -382,7 +383,7 @@
     const Duration ran = run.startedAt == NEVER ? Duration(0) : now - run.startedAt;
     report->set_run_ms(static_cast<std::uint32_t>(toMillis(ran)));
     log_.note(fmt::format("event=run_over {} entry={:016x} outcome={} reason={} ran_ms={} expected_ms={}", describe(run.name),
-                          toWire(key.first), static_cast<int>(outcome), reasonInfo(reason).code, toMillis(ran), toMillis(run.expected)));
+                          toWire(key.first), outcomeName(outcome), reasonInfo(reason).code, toMillis(ran), toMillis(run.expected)));
     counters_.add(outcome == repeat::RUN_DONE ? "agent_runs_done" : "agent_runs_not_done");
     if (run.state == RunState::Queued) {
         queue_.erase({run.rank, key});
--- a/src/repeat/repeat_entry.cpp
+++ b/src/repeat/repeat_entry.cpp
@@ -18,6 +18,7 @@
 constexpr Duration ANSWER_KEPT = Millis(10'000); ///< How long answers are repeated to copies of the request.
 constexpr std::size_t ANSWERS_LIMIT = 20'000; ///< Answers kept at most.
 constexpr std::size_t MISFITS_LIMIT = 12; ///< Waiting jobs that may be passed over in a row for want of room.
+constexpr Duration ISOLATION_LIMIT = Millis(400); ///< Without any agent for so long, jobs are passed on to other entries.
 constexpr Duration LEAST_RETRY = Millis(100); ///< Shortest time named to a refused caller.
 constexpr Duration JOB_TICK = Millis(10); ///< Time between checks of deadlines.
 
@@ -143,6 +144,12 @@
         callers_.answer(caller, {answered->second, Reason::None, Duration(0)});
         return;
     }
+    if (isIsolated(now)) {
+        counters_.add("entry_isolated");
+        log_.note(fmt::format("event=job_passed_on id={} kind={} reason=no_agent_in_reach", body.id, body.rule.kind));
+        callers_.answer(caller, {JobResult::Abandoned, Reason::EndpointAbsent, Duration(0)});
+        return;
+    }
     Duration retryAfter{0};
     const Reason refusal = admissionRefusal(body, now, &retryAfter);
     if (refusal != Reason::None) {
@@ -270,6 +277,17 @@
 }
 
 bool RepeatEntry::orderTasks(JobNumber number, Job &job, Instant now)
+{
+    std::string placed;
+    const bool complete = placeTasks(number, job, now, placed);
+    if (!placed.empty()) {
+        log_.note(fmt::format("event=tasks_ordered id={} waited_ms={} still_waiting={} at={}", job.body.id, toMillis(now - job.arrivedAt),
+                              job.waiting, placed));
+    }
+    return complete;
+}
+
+bool RepeatEntry::placeTasks(JobNumber number, Job &job, Instant now, std::string &placed)
 {
     for (std::uint32_t position = 0; position < job.tasks.size(); ++position) {
         RepeatTask &task = job.tasks[position];
@@ -287,6 +305,8 @@
             return false;
         }
         order(number, job, position, agent, now);
+        fmt::format_to(std::back_inserter(placed), "{}{}.{}/{}@{}", placed.empty() ? "" : ",", task.group, task.index, task.attempt,
+                       placement_.agents().at(agent).name);
     }
     return true;
 }
@@ -301,7 +321,6 @@
     task.agent = agent;
     ++task.attempt;
     --job.waiting;
-    ++job.uncertain;
     ++job.groupAt[task.group][agent];
     if (!job.ordered) {
         job.ordered = true;
@@ -330,8 +349,6 @@
     order->set_expected_ms(static_cast<std::uint32_t>(toMillis(expectedOf(job.body, group))));
     order->set_stamp(view.stamp);
     counters_.add("entry_orders");
-    log_.note(fmt::format("event=task_ordered id={} group={} index={} attempt={} agent={} waited_ms={} room_cpu={} stamp={}", job.body.id,
-                          task.group, task.index, task.attempt, view.name, toMillis(now - job.arrivedAt), view.room().cpu, view.stamp));
     links_.sendTo(agent, std::move(message));
 }
 
@@ -359,7 +376,7 @@
     counters_.add(fmt::format("entry_finished_{}", resultName(result)), reason);
     log_.note(fmt::format("event=job_over id={} kind={} result={} reason={} after_ms={} tasks_left={} callers={} retry_after_ms={}",
                           job.body.id, job.body.rule.kind, resultName(result), reasonInfo(reason).code, toMillis(now - job.arrivedAt),
-                          job.left, job.callers.size(), toMillis(retryAfter)));
+                          job.left, job.callers.size(), job.slowestAgent, toMillis(job.slowestRun), toMillis(retryAfter)));
     for (const CallerToken caller : job.callers) {
         byCaller_.erase(caller);
         callers_.answer(caller, {result, reason, retryAfter});
@@ -380,23 +397,32 @@
 void RepeatEntry::abandonAll(Instant now)
 {
     while (!jobs_.empty()) {
-        finish(jobs_.begin()->first, JobResult::NotRun, Reason::Draining, now, LEAST_RETRY);
+        finish(jobs_.begin()->first, JobResult::Abandoned, Reason::Draining, now);
     }
 }
 
+bool RepeatEntry::isIsolated(Instant now) const
+{
+    return now >= isolatedSince_ + ISOLATION_LIMIT;
+}
+
 void RepeatEntry::tickJobs(Instant now)
 {
     std::vector<std::pair<JobNumber, Reason>> over;
     for (const auto &[number, job] : jobs_) {
         if (now >= job.deadline) {
             over.emplace_back(number, job.ordered ? Reason::DeadlinePassed : Reason::DeadlineBeforeStart);
+        } else if (!job.ordered && isIsolated(now)) {
+            over.emplace_back(number, Reason::EndpointAbsent);
         } else if (now >= job.uselessAt && !job.ordered) {
             over.emplace_back(number, Reason::DeadlineUnreachable);
         }
     }
     for (const auto &[number, reason] : over) {
         const Duration wait = backlogWait(jobs_.at(number).body.rule.service);
-        finish(number, JobResult::NotRun, reason, now, std::max(LEAST_RETRY, wait));
+        // Another entry may reach agents: the caller is to ask there.
+        const JobResult result = reason == Reason::EndpointAbsent ? JobResult::Abandoned : JobResult::NotRun;
+        finish(number, result, reason, now, std::max(LEAST_RETRY, wait));
     }
     while (!answeredOrder_.empty() && (answeredOrder_.front().first + ANSWER_KEPT < now || answeredOrder_.size() > ANSWERS_LIMIT)) {
         answered_.erase(answeredOrder_.front().second);
--- a/src/repeat/repeat_entry.h
+++ b/src/repeat/repeat_entry.h
@@ -78,6 +78,9 @@
     /** Answers every open job at once. @param now the present. */
     void abandonAll(Instant now);
 
+    /** @return whether an agent is in reach. */
+    bool reachesAgents() const;
+
     /** @return jobs that are not over. */
     std::size_t open() const
     {
@@ -133,7 +136,8 @@
         Instant uselessAt; ///< A start after this instant earns nothing.
         bool mayHaveStarted = false; ///< An order went out and was not refused as not started.
         bool ordered = false; ///< An order went out.
-        std::uint32_t uncertain = 0; ///< Runs that may have started.
+        std::string slowestAgent; ///< Agent of the longest run that completed.
+        Duration slowestRun{0}; ///< That run's time.
     };
 
     using JobRank = std::pair<Instant, JobNumber>; ///< Order of waiting jobs; smaller goes first.
@@ -158,6 +162,8 @@
     Duration backlogWait(std::string_view service) const;
     void unblock(Job &job);
     bool orderTasks(JobNumber number, Job &job, Instant now);
+    bool placeTasks(JobNumber number, Job &job, Instant now, std::string &placed);
+    bool isIsolated(Instant now) const;
     void order(JobNumber number, Job &job, std::uint32_t position, Incarnation agent, Instant now);
     void onRunReport(Incarnation agent, const repeat::RunReport &report, Instant now);
     void onTaskDone(JobNumber number, Job &job, RepeatTask &task, Instant now);
@@ -188,6 +194,7 @@
     std::uint64_t nextJob_ = 1;
     std::uint64_t nextOrder_ = 1;
     bool draining_ = false;
+    Instant isolatedSince_ = NEVER - std::chrono::hours(1); ///< Since when no agent has been in reach; far ahead while one is.
     Instant nextJobTick_;
     Counters counters_;
 };
--- a/src/repeat/repeat_entry_agents.cpp
+++ b/src/repeat/repeat_entry_agents.cpp
@@ -1,6 +1,7 @@
 /** @file repeat_entry_agents.cpp Decisions of an entry about repeatable jobs: what agents report, and agents that are lost. */
 
 #include "core/reason_table.h"
+#include "repeat/outcome_func.h"
 #include "repeat/repeat_entry.h"
 
 #include <algorithm>
@@ -113,11 +114,12 @@
     if (report.outcome() != repeat::RUN_NOT_STARTED) {
         job.mayHaveStarted = true;
     }
-    log_.note(fmt::format("event=task_report id={} group={} index={} attempt={} agent={} outcome={} reason={} run_ms={} order_ms={}",
-                          job.body.id, task.group, task.index, task.attempt, placement_.agents().at(agent).name,
-                          static_cast<int>(report.outcome()), reasonInfo(static_cast<Reason>(report.reason())).code, report.run_ms(),
-                          toMillis(now - ref.sentAt)));
+    const std::string &agentName = placement_.agents().at(agent).name;
     if (report.outcome() == repeat::RUN_DONE) {
+        if (Millis(report.run_ms()) >= job.slowestRun) {
+            job.slowestRun = Millis(report.run_ms());
+            job.slowestAgent = agentName;
+        }
         const TaskGroup &group = job.body.groups[task.group];
         if (group.declared.count() > 0) {
             const double measured
@@ -128,6 +130,9 @@
         onTaskDone(ref.job, job, task, now);
         return;
     }
+    log_.note(fmt::format("event=task_not_done id={} group={} index={} attempt={} agent={} outcome={} reason={} run_ms={} order_ms={}",
+                          job.body.id, task.group, task.index, task.attempt, agentName, outcomeName(report.outcome()),
+                          reasonInfo(static_cast<Reason>(report.reason())).code, report.run_ms(), toMillis(now - ref.sentAt)));
     onTaskNotDone(ref.job, job, task, report, now);
 }
 
@@ -157,8 +162,20 @@
     }
 }
 
+bool RepeatEntry::reachesAgents() const
+{
+    return std::ranges::any_of(placement_.agents(), [](const auto &item) {
+        return item.second.up;
+    });
+}
+
 void RepeatEntry::tickAgents(Instant now)
 {
+    if (reachesAgents()) {
+        isolatedSince_ = NEVER - std::chrono::hours(1);
+    } else if (isolatedSince_ > now) {
+        isolatedSince_ = now;
+    }
     std::vector<Incarnation> silent;
     std::vector<Incarnation> lost;
     for (const auto &[incarnation, agent] : placement_.agents()) {
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,113 @@
+/** @file platform_test.cpp What comes from the platform, good and bad. */
+
+#include "platform/deployment.h"
+#include "platform/job_document.h"
+#include "platform/notice_server.h"
+#include "platform/route_table.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+namespace
+{
+
+using namespace medlarmill;
+using namespace medlarmill::platform;
+
+constexpr char SETTINGS[] = "node_name=frontend-a-1\nip=10.1.0.13\nzone=a\nlisten_addrs.front=10.1.0.13:8161\n"
+                            "listen_addrs.readiness_addr=10.1.0.13:8167\nport_range=7720,7735\nseeds=10.1.0.13:8166,10.2.0.30:8166\n"
+                            "platform.address=10.200.1.7:8169\nbounds.grace_s=6\nbounds.hold_max_ms=1000\nunknown.field=1\n";
+
+constexpr char NOTICE[] = R"({"service":"s","address":"10.1.0.9:80","zone":"a","version":"v1","slots":8,"state":"ready","cold_left_ms":0,)"
+                          R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1"],"clock_ms":482113,"seq_no":4,"born":17})";
+
+std::string submissionOf(const std::string &groups, const std::string &more = R"(,"best_effort":true)")
+{
+    return R"({"spec":"x","task_groups":)" + groups + more + "}";
+}
+
+}
+
+TEST_CASE("settings are read, and what is wrong is named")
+{
+    const auto good = parseDeployment(SETTINGS);
+    REQUIRE(good.ok());
+    CHECK(good->linkListen == "10.1.0.13:7720");
+    CHECK(good->seeds == std::vector<std::string>{"10.1.0.13:7720", "10.2.0.30:7720"});
+    CHECK(good->grace == Millis(6'000));
+    const auto bad = parseDeployment("node_name=x\nip=1.2.3.4\nzone=a\nport_range=1,2\nplatform.address=nowhere\nbounds.grace_s=soon\n");
+    REQUIRE_FALSE(bad.ok());
+    const std::string message(bad.status().message());
+    CHECK(message.find("platform.address=nowhere") != std::string::npos);
+    CHECK(message.find("bounds.grace_s=soon") != std::string::npos);
+}
+
+TEST_CASE("an announcement from a foreign writer names no endpoint")
+{
+    const auto good = decodeNotice("i-1", NOTICE);
+    REQUIRE(good.ok());
+    CHECK(good->capacity.cpu == 16'000);
+    CHECK(good->bornUnixMs == 17);
+    CHECK_FALSE(good->draining);
+    const std::string text = NOTICE;
+    const auto with = [&text](std::string_view from, std::string_view to) {
+        std::string changed = text;
+        changed.replace(changed.find(from), from.size(), to);
+        return changed;
+    };
+    CHECK_FALSE(decodeNotice("i-1", "\xff\xfe{").ok());
+    CHECK_FALSE(decodeNotice("i-1", "[]").ok());
+    CHECK_FALSE(decodeNotice("i-1", with("\"ready\"", "\"resting\"")).ok());
+    CHECK_FALSE(decodeNotice("i-1", with("\"s\"", "7")).ok());
+    CHECK_FALSE(decodeNotice("i-1", with("16000", "\"many\"")).ok());
+    CHECK_FALSE(decodeNotice("i-1", with("\"seq_no\":4", "\"seq\":4")).ok());
+    CHECK_FALSE(decodeNotice("i-1", with("10.1.0.9:80", "desk.example:80")).ok());
+    CHECK(decodeNotice("i-1", with("\"ready\"", "\"draining\""))->draining);
+}
+
+TEST_CASE("submissions are decoded wholly; what is not served is named")
+{
+    const auto good = decodeSubmission(submissionOf(R"([{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"affinity":"r1-3"},)"
+                                                    R"({"count":2,"cpu":100,"depends_on":[0],"constraints":"a","anti_affinity":1}])"));
+    REQUIRE(good.ok());
+    CHECK(good->unsupported.empty());
+    CHECK(good->groups[0].declared == Millis(900));
+    CHECK(good->groups[1].after == std::vector<std::uint32_t>{0});
+    CHECK(good->groups[1].requiredLabel == "a");
+    CHECK(good->groups[1].maxPerEndpoint == 1);
+    CHECK(decodeSubmission(submissionOf(R"([{"count":1}])", ""))->unsupported == "kept_job");
+    CHECK(decodeSubmission(submissionOf(R"([{"count":1,"gang":true}])"))->unsupported == "gang");
+    CHECK(decodeSubmission(submissionOf(R"([{"count":1}])", R"(,"best_effort":true,"repeats":3)"))->unsupported == "schedule");
+    CHECK_FALSE(decodeSubmission("{").ok());
+    CHECK_FALSE(decodeSubmission(submissionOf("[]")).ok());
+    CHECK_FALSE(decodeSubmission(submissionOf(R"([{"count":0}])")).ok());
+    CHECK_FALSE(decodeSubmission(submissionOf(R"([{"count":-1}])")).ok());
+    CHECK_FALSE(decodeSubmission(submissionOf(R"([{"count":1,"depends_on":[0]}])")).ok());
+    CHECK_FALSE(decodeSubmission(submissionOf(R"([{"count":1,"cpu":"much"}])")).ok());
+}
+
+TEST_CASE("the longest prefix of the host decides")
+{
+    const auto routes = decodeRoutes(R"({"version":7,"routes":[{"name":"r1","host":"h","path_prefix":"/a/","service":"s","max_attempts":4,)"
+                                     R"("slack_factor":1.6,"target_latency_ms":60,"timeout_ms":1500},{"name":"r2","host":"h","path_prefix":"/a/b/",)"
+                                     R"("service":"s"}],"limits":{"max_body_bytes":100}})");
+    REQUIRE(routes.ok());
+    CHECK(routes->version == 7);
+    CHECK(routes->find("h", "/a/b/1")->rule.kind == "r2");
+    CHECK(routes->find("h", "/a/c")->rule.kind == "r1");
+    CHECK(routes->find("h", "/a/c")->rule.target == Millis(60));
+    CHECK(routes->find("h", "/b/") == nullptr);
+    CHECK(routes->find("other", "/a/") == nullptr);
+    CHECK_FALSE(decodeRoutes("{}").ok());
+    CHECK_FALSE(decodeRoutes(R"({"routes":[1]})").ok());
+}
+
+TEST_CASE("no bytes make a decoder fail")
+{
+    rc::check("decoders answer with a status", [](const std::string &text) {
+        static_cast<void>(decodeNotice("i", text));
+        static_cast<void>(decodeSubmission(text));
+        static_cast<void>(decodeRoutes(text));
+        static_cast<void>(parseDeployment(text));
+    });
+}
