Change: An unanswered start is sent again as it is

Cause: half of the starts unanswered (late-orders) cost a stop, a look and a new order each; views that were missed looked like stalls. Change: the same start again, which is idempotent at the endpoint, up to three times; a stall needs two views that agree.

--- a/src/repeat/repeat_agent.cpp
+++ b/src/repeat/repeat_agent.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr Duration START_TIMEOUT = Millis(80); ///< Time for the endpoint beside the agent to answer a start.
+constexpr int START_TRIES = 3; ///< Times that the same start is sent before the run is stopped.
 constexpr Duration STOP_TIMEOUT = Millis(80); ///< Time for it to answer a stop.
 constexpr std::size_t QUEUE_LIMIT = 6; ///< Orders that may wait for room; covers orders of several entries that cross.
 constexpr Duration NO_ROOM_PAUSE = Millis(10); ///< Pause of starts after the endpoint refused one for want of room.
@@ -235,6 +236,7 @@
 void RepeatAgent::start(const RunKey &key, Run &run, Instant now)
 {
     run.state = RunState::Starting;
+    ++run.starts;
     EndpointCall call = makeCall(true, now);
     call.timeout = START_TIMEOUT;
     run.lastLeaseEnd = leaseEnd_;
@@ -300,7 +302,13 @@
         counters_.add("agent_starts_unanswered");
         log_.warn(fmt::format("event=start_unanswered {} state={}", describe(run.name),
                               run.state == RunState::Running ? "seen_running" : "unknown"));
-        if (run.state == RunState::Starting) {
+        if (run.state != RunState::Starting) {
+            break;
+        }
+        // The same start again is idempotent at the endpoint: one that was carried out is accepted again.
+        if (run.starts < START_TRIES && !run.stopWanted && run.deadline > now_) {
+            start(key, run, now_);
+        } else {
             stop(key, run, Reason::NoAnswer, now_);
         }
         break;
--- a/src/repeat/repeat_agent.h
+++ b/src/repeat/repeat_agent.h
@@ -100,9 +100,10 @@
         Duration expected{0}; ///< Expected run time.
         Instant arrivedAt; ///< When the order came.
         Instant startedAt = NEVER; ///< When the endpoint accepted it or listed it first.
-        bool listed = false; ///< The endpoint has listed it.
         std::uint32_t progress = 0; ///< Percent when last listed.
         Instant progressAt; ///< When that changed last.
+        Instant listedAt; ///< When it was listed last.
+        int starts = 0; ///< Starts that were sent.
         Instant stopAcceptedAt = NEVER; ///< When the endpoint accepted the stop.
         Instant nextStop; ///< When the stop is sent again.
         Instant lastLeaseEnd; ///< After this instant a delayed start is refused by the endpoint.
--- a/src/repeat/repeat_agent_view.cpp
+++ b/src/repeat/repeat_agent_view.cpp
@@ -191,7 +191,7 @@
     std::vector<RunKey> stalled;
     for (const auto &[key, run] : runs_) {
         const Duration limit = run.expected * STALL_SHARE / 100 + STALL_LEAST;
-        if (run.state == RunState::Running && run.listed && responsive_ && looksMissed_ == 0 && now - run.progressAt > limit) {
+        if (run.state == RunState::Running && run.listedAt - run.progressAt > limit) {
             stalled.push_back(key);
         }
     }
@@ -203,7 +203,7 @@
         Run &run = found->second;
         log_.warn(fmt::format("event=run_stalled id={} group={} index={} attempt={} progress={} unchanged_ms={} expected_ms={}",
                               run.name.submission, run.name.group, run.name.index, run.name.attempt, run.progress,
-                              toMillis(now - run.progressAt), toMillis(run.expected)));
+                              toMillis(run.listedAt - run.progressAt), toMillis(run.expected)));
         if (health_.onFailure(run.name.submission, now)) {
             counters_.add("agent_endpoint_out");
             log_.warn(fmt::format("event=endpoint_out endpoint={} reason=runs_stall last_id={}", notice_->id, run.name.submission));
@@ -265,7 +265,7 @@
         }
         Run &run = runs_.at(known->second);
         run.startedAt = std::min(run.startedAt, now);
-        run.listed = true;
+        run.listedAt = now;
         if (item.progress != run.progress || run.progressAt == Instant()) {
             run.progress = item.progress;
             run.progressAt = now;
