--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -88,9 +88,10 @@
 
 TEST_CASE("the longest prefix of the host decides")
 {
-    const auto routes = decodeRoutes(R"({"version":7,"routes":[{"name":"r1","host":"h","path_prefix":"/a/","service":"s","max_attempts":4,)"
-                                     R"("slack_factor":1.6,"target_latency_ms":60,"timeout_ms":1500},{"name":"r2","host":"h","path_prefix":"/a/b/",)"
-                                     R"("service":"s"}],"limits":{"max_body_bytes":100}})");
+    const auto routes
+        = decodeRoutes(R"({"version":7,"routes":[{"name":"r1","host":"h","path_prefix":"/a/","service":"s","max_attempts":4,)"
+                       R"("slack_factor":1.6,"target_latency_ms":60,"timeout_ms":1500},{"name":"r2","host":"h","path_prefix":"/a/b/",)"
+                       R"("service":"s"}],"limits":{"max_body_bytes":100}})");
     REQUIRE(routes.ok());
     CHECK(routes->version == 7);
     CHECK(routes->find("h", "/a/b/1")->rule.kind == "r2");
