--- /dev/null
+++ b/tests/repeat/repeat_world_nodes.h
@@ -0,0 +1,254 @@
+/** @file repeat_world_nodes.h The processes and links of a RepeatWorld; included by its own files only. */
+
+#pragma once
+
+#include "repeat_world.h"
+
+#include <iostream>
+
+namespace medlarmill::fake
+{
+
+constexpr Duration HOP = Millis(1); ///< One way between processes.
+
+/** Prints decisions when the world is traced. */
+class TraceLog : public DecisionLog
+{
+public:
+    TraceLog(std::string name, const bool &enabled, const Instant &now)
+        : name_(std::move(name))
+        , enabled_(enabled)
+        , now_(now)
+    { }
+
+    void note(std::string_view line) override
+    {
+        if (enabled_) {
+            std::cout << toMillis(now_.time_since_epoch()) << ' ' << name_ << ' ' << line << '\n';
+        }
+    }
+
+    void warn(std::string_view line) override
+    {
+        note(line);
+    }
+
+private:
+    std::string name_;
+    const bool &enabled_;
+    const Instant &now_;
+};
+
+struct RepeatWorld::Link
+{
+    bool up = false;
+    std::uint64_t generation = 0;
+    int cuts = 0; ///< Reasons why nothing passes.
+    Instant agentHeard;
+    Instant entryHeard;
+    Incarnation knownEntry = INVALID_INCARNATION; ///< What the agent reached there last.
+};
+
+struct RepeatWorld::Submission
+{
+    std::string id;
+    int entry = 0;
+    Incarnation incarnation = INVALID_INCARNATION;
+    int tries = 0;
+    Instant submittedAt;
+    Duration patience{0};
+    bool entryWasFrozen = false;
+};
+
+struct RepeatWorld::EntryNode : public LinkOutput, public CallerOutput
+{
+    EntryNode(RepeatWorld &owner, int position)
+        : world(owner)
+        , number(position)
+        , log("entry" + std::to_string(position), owner.trace, owner.now_)
+    { }
+
+    void sendTo(Incarnation peer, repeat::Message message) override
+    {
+        for (int agent = 0; agent < static_cast<int>(world.agents_.size()); ++agent) {
+            if (world.agentIncarnation(agent) == peer && world.links_[agent][number].up) {
+                world.deliver(agent, number, false, std::move(message));
+                return;
+            }
+        }
+    }
+
+    void resetLink(Incarnation peer) override
+    {
+        for (int agent = 0; agent < static_cast<int>(world.agents_.size()); ++agent) {
+            if (world.agentIncarnation(agent) == peer) {
+                world.disconnect(agent, number, true, false);
+            }
+        }
+    }
+
+    void answer(CallerToken caller, const JobOutcome &outcome) override
+    {
+        world.onAnswer(static_cast<std::uint64_t>(caller), outcome);
+    }
+
+    RepeatWorld &world;
+    int number;
+    TraceLog log;
+    Incarnation incarnation = INVALID_INCARNATION;
+    std::unique_ptr<RepeatEntry> core;
+    Instant frozenUntil;
+    Instant ticksFrom;
+};
+
+struct RepeatWorld::AgentNode : public LinkOutput, public EndpointPort
+{
+    AgentNode(RepeatWorld &owner, int position)
+        : world(owner)
+        , number(position)
+        , log("agent" + std::to_string(position), owner.trace, owner.now_)
+        , endpoint(position, owner.oracle_)
+    { }
+
+    void sendTo(Incarnation peer, repeat::Message message) override
+    {
+        for (int entry = 0; entry < static_cast<int>(world.entries_.size()); ++entry) {
+            if (world.entries_[entry]->incarnation == peer && world.links_[number][entry].up) {
+                world.deliver(number, entry, true, std::move(message));
+                return;
+            }
+        }
+    }
+
+    void resetLink(Incarnation /*peer*/) override
+    { }
+
+    /** Hands a result to the agent when it can run, if it is still the same life. */
+    void hand(Duration delay, Action action)
+    {
+        const Incarnation life = incarnation;
+        world.after(delay, [this, life, action = std::move(action)]() mutable {
+            if (incarnation != life || core == nullptr) {
+                return;
+            }
+            if (world.isFrozen(frozenUntil)) {
+                hand(frozenUntil - world.now_, std::move(action));
+                return;
+            }
+            action();
+        });
+    }
+
+    /** Carries out an order with the faults in force. @param act the order. @param done gets its answer. */
+    void order(const EndpointCall &call, std::function<EndpointAnswer()> act, std::function<void(EndpointAnswer)> done)
+    {
+        if (!endpoint.up) {
+            hand(HOP, [this, done] {
+                EndpointAnswer answer;
+                answer.status = EndpointCallStatus::ConnectionRefused;
+                answer.at = world.now_;
+                done(answer);
+            });
+            return;
+        }
+        const bool late = lateOrders > 0 && world.random_() % 3 == 0;
+        const bool lost = lostAnswers > 0 && world.random_() % 3 == 0;
+        const Duration delay = late ? Duration(Millis(1'500 + world.random_() % 4'000)) : HOP;
+        const bool answered = !late && !lost && silent == 0;
+        if (silent == 0) {
+            world.after(delay, [this, act, done, answered] {
+                const EndpointAnswer answer = act();
+                if (answered) {
+                    hand(HOP, [this, done, answer] {
+                        EndpointAnswer told = answer;
+                        told.at = world.now_;
+                        done(told);
+                    });
+                }
+            });
+        }
+        if (!answered) {
+            hand(call.timeout, [this, done] {
+                EndpointAnswer answer;
+                answer.at = world.now_;
+                done(answer);
+            });
+        }
+    }
+
+    void start(const EndpointCall &call, const RunName &run, const std::string & /*spec*/,
+               std::function<void(EndpointAnswer)> done) override
+    {
+        const TaskGroup group = world.jobs_[run.submission].groups[run.group];
+        const auto percent = static_cast<Duration::rep>(60 + world.random_() % 100);
+        const bool fails = failing > 0 || world.random_() % 60 == 0;
+        order(
+            call,
+            [this, call, run, group, percent, fails] {
+                return endpoint.start(call, run, group.declared * percent / 100, fails, group.demand, world.now_);
+            },
+            std::move(done));
+    }
+
+    void stop(const EndpointCall &call, const RunName &run, std::function<void(EndpointAnswer)> done) override
+    {
+        order(
+            call,
+            [this, call, run] {
+                return endpoint.stop(call, run, world.now_);
+            },
+            std::move(done));
+    }
+
+    void look(const EndpointCall &call, std::uint64_t acknowledged, Millis wait, std::function<void(EndpointView)> done) override
+    {
+        if (!endpoint.up || silent > 0) {
+            const bool refused = !endpoint.up;
+            hand(refused ? HOP : call.timeout, [this, done, refused] {
+                EndpointView view;
+                view.answer.at = world.now_;
+                view.answer.status = refused ? EndpointCallStatus::ConnectionRefused : EndpointCallStatus::NoAnswer;
+                done(view);
+            });
+            return;
+        }
+        world.after(HOP, [this, call, acknowledged, wait, done] {
+            endpoint.look(call, acknowledged, world.now_);
+            waitForEnd(call, acknowledged, world.now_ + wait, done);
+        });
+    }
+
+    void waitForEnd(const EndpointCall &call, std::uint64_t acknowledged, Instant until, const std::function<void(EndpointView)> &done)
+    {
+        endpoint.advance(world.now_);
+        if (!endpoint.hasEnds() && world.now_ < until) {
+            world.after(Millis(5), [this, call, acknowledged, until, done] {
+                waitForEnd(call, acknowledged, until, done);
+            });
+            return;
+        }
+        EndpointView view = endpoint.look(call, acknowledged, world.now_);
+        if (silent > 0) {
+            view = EndpointView();
+        }
+        hand(HOP, [this, done, view]() mutable {
+            view.answer.at = world.now_;
+            done(view);
+        });
+    }
+
+    RepeatWorld &world;
+    int number;
+    TraceLog log;
+    FakeEndpoint endpoint;
+    Incarnation incarnation = INVALID_INCARNATION;
+    std::unique_ptr<RepeatAgent> core;
+    Instant frozenUntil;
+    Instant stopAt = NEVER;
+    int silent = 0;
+    int lateOrders = 0;
+    int lostAnswers = 0;
+    int failing = 0;
+};
+
+}
