Fix: Entries that are gone for good were dialed for ever

Change: an address that neither a link, the table nor an answer confirms for 60 s is forgotten, with a log line.

--- a/src/agentd/repeat_agent_process.cpp
+++ b/src/agentd/repeat_agent_process.cpp
@@ -128,6 +128,12 @@
     core_.onEntryMessage(peer, message, ProcessClock::now());
 }
 
+void RepeatAgentProcess::onTargetForgotten(const std::string &address)
+{
+    log_.note(fmt::format("event=entry_forgotten address={}", address));
+    targets_.erase(address);
+}
+
 void RepeatAgentProcess::onFrameEnd()
 { }
 
--- a/src/agentd/repeat_agent_process.h
+++ b/src/agentd/repeat_agent_process.h
@@ -47,6 +47,7 @@
     void onLinkUp(Incarnation peer, const repeat::Message &hello, bool dialed) override;
     void onLinkDown(Incarnation peer, bool processGone) override;
     void onMessage(Incarnation peer, const repeat::Message &message) override;
+    void onTargetForgotten(const std::string &address) override;
     void onFrameEnd() override;
 
 private:
--- a/src/entry/repeat_entry_process.cpp
+++ b/src/entry/repeat_entry_process.cpp
@@ -16,6 +16,7 @@
 
 constexpr Duration TICK = Millis(10); ///< Time between ticks of the decisions.
 constexpr Duration PEER_PING = Millis(500); ///< Time between proofs of life to other entries.
+constexpr Duration ENTRY_KEPT = Millis(60'000); ///< An entry that neither a link nor the table confirms for so long is forgotten.
 constexpr Duration ROTATION_TIME = Millis(2'600); ///< The balancer takes a node out after two misses, one a second.
 constexpr Duration STOP_MARGIN = Millis(700); ///< Time left to write the last answers before the end of the grace period.
 constexpr Duration FLUSH_TIME = Millis(60); ///< Time for the last answers to leave.
@@ -127,7 +128,7 @@
         pumpSoon();
         return;
     }
-    entryPeers_.insert(peer);
+    entryPeers_[peer] = hello.entry_hello().address();
     log_.note(fmt::format("event=entry_up entry={} incarnation={:016x} config_version={}", hello.entry_hello().name(), toWire(peer),
                           hello.entry_hello().config_version()));
     if (dialed) {
@@ -178,7 +179,7 @@
     }
     document_ = text;
     log_.note(fmt::format("event=config_in_force version={} source={} bytes={}", *version, source, text.size()));
-    for (const Incarnation peer : entryPeers_) {
+    for (const auto &[peer, address] : entryPeers_) {
         sendConfig(peer);
     }
 }
@@ -194,7 +195,7 @@
 void RepeatEntryProcess::sendEntryList(Incarnation peer)
 {
     repeat::Message message;
-    for (const std::string &address : knownEntries_) {
+    for (const auto &[address, confirmedAt] : knownEntries_) {
         message.mutable_entry_list()->add_addresses(address);
     }
     hub_.sendTo(peer, std::move(message));
@@ -202,23 +203,61 @@
 
 void RepeatEntryProcess::learnAddresses(const std::vector<std::string> &addresses)
 {
-    bool changed = false;
+    const std::size_t before = knownEntries_.size();
     for (const std::string &address : addresses) {
-        changed = knownEntries_.insert(address).second || changed;
+        knownEntries_[address] = ProcessClock::now();
     }
-    if (!changed) {
+    if (knownEntries_.size() == before) {
         return;
     }
+    dialEntries();
+    for (const Incarnation agent : agentPeers_) {
+        sendEntryList(agent);
+    }
+}
+
+void RepeatEntryProcess::dialEntries()
+{
     // Of two entries, the one with the smaller address dials.
     std::vector<std::string> targets;
-    for (const std::string &address : knownEntries_) {
+    for (const auto &[address, confirmedAt] : knownEntries_) {
         if (address > settings_.listen) {
             targets.push_back(address);
         }
     }
     hub_.setTargets(targets);
-    for (const Incarnation agent : agentPeers_) {
-        sendEntryList(agent);
+}
+
+void RepeatEntryProcess::onTargetForgotten(const std::string &address)
+{
+    log_.note(fmt::format("event=entry_forgotten address={}", address));
+    knownEntries_.erase(address);
+}
+
+void RepeatEntryProcess::pingPeers(Instant now)
+{
+    for (const auto &[peer, address] : entryPeers_) {
+        knownEntries_[address] = now;
+        repeat::Message message;
+        message.mutable_entry_ping()->set_stamp(0);
+        hub_.sendTo(peer, std::move(message));
+    }
+}
+
+void RepeatEntryProcess::forgetEntries(Instant now)
+{
+    knownEntries_[settings_.listen] = now;
+    std::vector<std::string> old;
+    for (const auto &[address, confirmedAt] : knownEntries_) {
+        if (confirmedAt + ENTRY_KEPT < now) {
+            old.push_back(address);
+        }
+    }
+    for (const std::string &address : old) {
+        onTargetForgotten(address);
+    }
+    if (!old.empty()) {
+        dialEntries();
     }
 }
 
@@ -234,11 +273,8 @@
     core_.tick(now);
     if (now >= nextPeerPing_) {
         nextPeerPing_ = now + PEER_PING;
-        for (const Incarnation peer : entryPeers_) {
-            repeat::Message message;
-            message.mutable_entry_ping()->set_stamp(0);
-            hub_.sendTo(peer, std::move(message));
-        }
+        pingPeers(now);
+        forgetEntries(now);
     }
     log_.flush();
     tickStop(now);
--- a/src/entry/repeat_entry_process.h
+++ b/src/entry/repeat_entry_process.h
@@ -86,12 +86,16 @@
     void onLinkUp(Incarnation peer, const repeat::Message &hello, bool dialed) override;
     void onLinkDown(Incarnation peer, bool processGone) override;
     void onMessage(Incarnation peer, const repeat::Message &message) override;
+    void onTargetForgotten(const std::string &address) override;
     void onFrameEnd() override;
 
 private:
     void onDocument(const std::string &text, std::string_view source);
     void sendConfig(Incarnation peer);
     void learnAddresses(const std::vector<std::string> &addresses);
+    void dialEntries();
+    void pingPeers(Instant now);
+    void forgetEntries(Instant now);
     void sendEntryList(Incarnation peer);
     void pumpSoon();
     void stop();
@@ -107,9 +111,9 @@
     ConfigWatcher configWatcher_;
     EntryDirectory directory_;
     boost::asio::steady_timer timer_;
-    absl::btree_set<Incarnation> entryPeers_; ///< Other entries with a link.
+    absl::btree_map<Incarnation, std::string> entryPeers_; ///< Other entries with a link, and their addresses.
     absl::btree_set<Incarnation> agentPeers_; ///< Agents with a link.
-    absl::btree_set<std::string> knownEntries_; ///< Addresses.
+    absl::btree_map<std::string, Instant> knownEntries_; ///< Addresses, and when each was confirmed last.
     std::string document_; ///< Configuration in force.
     Instant nextPeerPing_;
     Instant stopAt_ = NEVER; ///< When the stop began.
--- a/src/net/message_hub.cpp
+++ b/src/net/message_hub.cpp
@@ -42,6 +42,7 @@
     Incarnation lastPeer = INVALID_INCARNATION; ///< Process that answered there last.
     std::uint64_t attempt = 0;
     int failures = 0;
+    Instant answeredAt; ///< When it answered last, or was named.
 };
 
 MessageHub::MessageHub(boost::asio::io_context &context, Settings settings, MessageHubEvents &events)
@@ -114,6 +115,7 @@
             continue;
         }
         targets_[address] = std::make_unique<Target>(context_);
+        targets_[address]->answeredAt = ProcessClock::now();
         dial(address);
     }
     std::vector<std::string> unwanted;
@@ -175,6 +177,14 @@
 {
     Target &target = *targets_.at(address);
     target.failures = failed ? target.failures + 1 : 0;
+    if (!failed) {
+        target.answeredAt = ProcessClock::now();
+    } else if (target.answeredAt + settings_.forgetAfter < ProcessClock::now()) {
+        const std::string forgotten = address;
+        targets_.erase(address);
+        events_.onTargetForgotten(forgotten);
+        return;
+    }
     const Duration pause = std::min(LONGEST_REDIAL, FIRST_REDIAL * (1 << std::min(target.failures, 5)));
     target.timer.expires_after(target.failures == 0 ? Duration(0) : pause);
     target.timer.async_wait([this, address](boost::system::error_code error) {
--- a/src/net/message_hub.h
+++ b/src/net/message_hub.h
@@ -36,6 +36,9 @@
     /** A message arrived. @param peer the sender. @param message the message. */
     virtual void onMessage(Incarnation peer, const repeat::Message &message) = 0;
 
+    /** A process that was to be dialed has not answered for long and is no longer dialed. @param address its address. */
+    virtual void onTargetForgotten(const std::string &address) = 0;
+
     /** All messages of a frame were handed over. */
     virtual void onFrameEnd() = 0;
 };
@@ -49,6 +52,7 @@
     {
         std::function<repeat::Message()> hello; ///< Makes the hello of this process for accepted links; not used by agents.
         std::string ownAddress; ///< Never dialed.
+        Duration forgetAfter = Millis(60'000); ///< A process that does not answer for so long is no longer dialed.
         Duration silence = Millis(1'500); ///< A link on which nothing arrives for so long is closed.
     };
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,5 +1,6 @@
 /** @file platform_test.cpp What comes from the platform, good and bad. */
 
+#include "net/message_hub.h"
 #include "platform/deployment.h"
 #include "platform/job_document.h"
 #include "platform/notice_server.h"
@@ -103,6 +104,45 @@
     CHECK_FALSE(decodeRoutes(R"({"routes":[1]})").ok());
 }
 
+namespace
+{
+
+/** Counts what a hub forgets. */
+class HubRecorder : public MessageHubEvents
+{
+public:
+    void onLinkUp(Incarnation, const repeat::Message &, bool) override
+    { }
+    void onLinkDown(Incarnation, bool) override
+    { }
+    void onMessage(Incarnation, const repeat::Message &) override
+    { }
+    void onTargetForgotten(const std::string &address) override
+    {
+        forgotten.push_back(address);
+    }
+    void onFrameEnd() override
+    { }
+
+    std::vector<std::string> forgotten;
+};
+
+}
+
+TEST_CASE("a process that is gone for good is no longer dialed")
+{
+    boost::asio::io_context context;
+    HubRecorder recorder;
+    MessageHub::Settings settings;
+    settings.forgetAfter = Millis(100);
+    MessageHub hub(context, settings, recorder);
+    hub.setTargets({"127.0.0.1:9"});
+    while (recorder.forgotten.empty()) {
+        context.run_one();
+    }
+    CHECK(recorder.forgotten == std::vector<std::string>{"127.0.0.1:9"});
+}
+
 TEST_CASE("no bytes make a decoder fail")
 {
     rc::check("decoders answer with a status", [](const std::string &text) {
