--- a/src/net/message_hub.cpp
+++ b/src/net/message_hub.cpp
@@ -180,9 +180,8 @@
     if (!failed) {
         target.answeredAt = ProcessClock::now();
     } else if (target.answeredAt + settings_.forgetAfter < ProcessClock::now()) {
-        const std::string forgotten = address;
+        events_.onTargetForgotten(address);
         targets_.erase(address);
-        events_.onTargetForgotten(forgotten);
         return;
     }
     const Duration pause = std::min(LONGEST_REDIAL, FIRST_REDIAL * (1 << std::min(target.failures, 5)));
