Fix: A planned stop that had found no open job took new ones and missed its end

Change: the phases of a stop are a class of their own; once finished, no job is taken and the process ends 60 ms later. Lines of start and stop have the budget of warnings.

--- a/src/agentd/repeat_agent_process.cpp
+++ b/src/agentd/repeat_agent_process.cpp
@@ -32,7 +32,7 @@
 
 void RepeatAgentProcess::start()
 {
-    log_.note(fmt::format("event=started role=agent incarnation={:016x} zone={}", toWire(settings_.core.incarnation), settings_.core.zone));
+    log_.warn(fmt::format("event=started role=agent incarnation={:016x} zone={}", toWire(settings_.core.incarnation), settings_.core.zone));
     learnAddresses(settings_.seeds);
     directory_.start(
         [this] {
@@ -50,7 +50,7 @@
         return;
     }
     stopAt_ = ProcessClock::now();
-    log_.note(fmt::format("event=stop_began held={}", core_.held()));
+    log_.warn(fmt::format("event=stop_began held={}", core_.held()));
     core_.startDraining(stopAt_);
 }
 
@@ -68,7 +68,7 @@
     const bool stopping = stopAt_ != NEVER;
     const bool done = stopping && core_.held() == 0 && now >= stopAt_ + LEAST_STOP;
     if (done || (stopping && now >= stopAt_ + settings_.grace - STOP_MARGIN)) {
-        log_.note(fmt::format("event=stopped held={}", core_.held()));
+        log_.warn(fmt::format("event=stopped held={}", core_.held()));
         log_.flush();
         context_.stop();
         return;
--- a/src/entry/repeat_entry_process.cpp
+++ b/src/entry/repeat_entry_process.cpp
@@ -17,9 +17,6 @@
 constexpr Duration TICK = Millis(10); ///< Time between ticks of the decisions.
 constexpr Duration PEER_PING = Millis(500); ///< Time between proofs of life to other entries.
 constexpr Duration ENTRY_KEPT = Millis(60'000); ///< An entry that neither a link nor the table confirms for so long is forgotten.
-constexpr Duration ROTATION_TIME = Millis(2'600); ///< The balancer takes a node out after two misses, one a second.
-constexpr Duration STOP_MARGIN = Millis(700); ///< Time left to write the last answers before the end of the grace period.
-constexpr Duration FLUSH_TIME = Millis(60); ///< Time for the last answers to leave.
 
 }
 
@@ -42,6 +39,7 @@
             settings_.listen},
            *this)
     , core_(settings_.core, *this, callers, log)
+    , stop_(settings_.grace)
     , configWatcher_(context, table, settings_.config, log,
                      [this](const std::string &text) {
                          onDocument(text, "table");
@@ -69,7 +67,7 @@
         [this](const std::vector<std::string> &addresses) {
             learnAddresses(addresses);
         });
-    log_.note(fmt::format("event=started role=entry incarnation={:016x} zone={} listen={}", toWire(settings_.core.incarnation),
+    log_.warn(fmt::format("event=started role=entry incarnation={:016x} zone={} listen={}", toWire(settings_.core.incarnation),
                           settings_.core.zone, settings_.listen));
     tick();
     return absl::OkStatus();
@@ -77,7 +75,7 @@
 
 bool RepeatEntryProcess::isReady() const
 {
-    return stopAt_ == NEVER && callers_.configVersion() != 0 && core_.reachesAgents();
+    return !stop_.hasBegun() && callers_.configVersion() != 0 && core_.reachesAgents();
 }
 
 void RepeatEntryProcess::submit(CallerToken caller, RepeatJob job)
@@ -288,38 +286,34 @@
 
 void RepeatEntryProcess::stop()
 {
-    if (stopAt_ != NEVER) {
+    if (stop_.hasBegun()) {
         return;
     }
-    stopAt_ = ProcessClock::now();
-    log_.note(fmt::format("event=stop_began open_jobs={}", core_.open()));
+    stop_.begin(ProcessClock::now());
+    log_.warn(fmt::format("event=stop_began open_jobs={}", core_.open()));
     directory_.retire();
 }
 
 void RepeatEntryProcess::tickStop(Instant now)
 {
-    if (stopAt_ == NEVER) {
+    switch (stop_.advance(now, core_.open())) {
+    case StopPhase::Running:
+    case StopPhase::Rotating:
         return;
-    }
-    if (finishedAt_ == NEVER) {
-        if (now < stopAt_ + ROTATION_TIME) {
-            return;
-        }
+    case StopPhase::Closing:
         callers_.closeAfterAnswers();
-        if (now >= stopAt_ + settings_.grace - STOP_MARGIN) {
-            core_.startDraining();
-            core_.abandonAll(now);
-        }
-        if (core_.open() == 0) {
-            callers_.stopAccepting();
-            finishedAt_ = now;
-        }
         return;
-    }
-    if (now >= finishedAt_ + FLUSH_TIME && core_.open() == 0) {
-        log_.note("event=stopped");
+    case StopPhase::Finished:
+        callers_.closeAfterAnswers();
+        callers_.stopAccepting();
+        core_.startDraining();
+        core_.abandonAll(now);
+        return;
+    case StopPhase::Over:
+        log_.warn("event=stopped");
         log_.flush();
         context_.stop();
+        return;
     }
 }
 
--- a/src/entry/repeat_entry_process.h
+++ b/src/entry/repeat_entry_process.h
@@ -5,6 +5,7 @@
 #include "daemon/bounded_log.h"
 #include "daemon/metrics.h"
 #include "net/message_hub.h"
+#include "repeat/planned_stop.h"
 #include "repeat/repeat_entry.h"
 #include "table/config_watcher.h"
 #include "table/entry_directory.h"
@@ -108,6 +109,7 @@
     BoundedLog &log_;
     MessageHub hub_;
     RepeatEntry core_;
+    PlannedStop stop_;
     ConfigWatcher configWatcher_;
     EntryDirectory directory_;
     boost::asio::steady_timer timer_;
@@ -116,8 +118,6 @@
     absl::btree_map<std::string, Instant> knownEntries_; ///< Addresses, and when each was confirmed last.
     std::string document_; ///< Configuration in force.
     Instant nextPeerPing_;
-    Instant stopAt_ = NEVER; ///< When the stop began.
-    Instant finishedAt_ = NEVER; ///< When the last answer was written.
     bool pumpScheduled_ = false;
 };
 
--- /dev/null
+++ b/src/repeat/planned_stop.h
@@ -0,0 +1,52 @@
+/** @file planned_stop.h The phases of a planned stop of an entry. */
+
+#pragma once
+
+#include "core/time_type.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace medlarmill
+{
+
+/** Where a planned stop stands. */
+enum class StopPhase : std::uint8_t {
+    Running, ///< No stop was asked for.
+    Rotating, ///< Not ready any more; the balancer still sends connections, which are served.
+    Closing, ///< Answers close their connections.
+    Finished, ///< No job is taken any more; the last answers leave.
+    Over, ///< The process ends.
+};
+
+/** Decides on the phases; a later phase is never left for an earlier one. */
+class PlannedStop
+{
+public:
+    /** @param grace time from the stop signal to the end by force. */
+    explicit PlannedStop(Duration grace)
+        : grace_(grace)
+    { }
+
+    /** A stop was asked for. @param now the present. */
+    void begin(Instant now)
+    {
+        begunAt_ = now;
+    }
+
+    /** @return whether a stop was asked for. */
+    bool hasBegun() const
+    {
+        return begunAt_ != NEVER;
+    }
+
+    /** Moves on. @param now the present. @param openJobs jobs without an answer. @return the phase. */
+    StopPhase advance(Instant now, std::size_t openJobs);
+
+private:
+    Duration grace_;
+    Instant begunAt_ = NEVER;
+    Instant finishedAt_ = NEVER;
+};
+
+}
--- a/src/repeat/repeat_entry.cpp
+++ b/src/repeat/repeat_entry.cpp
@@ -102,9 +102,6 @@
 Reason RepeatEntry::admissionRefusal(const RepeatJob &job, Instant /*now*/, Duration *retryAfter) const
 {
     *retryAfter = LEAST_RETRY;
-    if (draining_) {
-        return Reason::Draining;
-    }
     if (jobs_.size() >= settings_.maxJobs) {
         return Reason::JobTableFull;
     }
@@ -144,10 +141,12 @@
         callers_.answer(caller, {answered->second, Reason::None, Duration(0)});
         return;
     }
-    if (isIsolated(now)) {
-        counters_.add("entry_isolated");
-        log_.note(fmt::format("event=job_passed_on id={} kind={} reason=no_agent_in_reach", body.id, body.rule.kind));
-        callers_.answer(caller, {JobResult::Abandoned, Reason::EndpointAbsent, Duration(0)});
+    if (draining_ || isIsolated(now)) {
+        // Another entry can serve it: the caller is to ask there.
+        const Reason reason = draining_ ? Reason::Draining : Reason::EndpointAbsent;
+        counters_.add("entry_passed_on", reason);
+        log_.note(fmt::format("event=job_passed_on id={} kind={} reason={}", body.id, body.rule.kind, reasonInfo(reason).code));
+        callers_.answer(caller, {JobResult::Abandoned, reason, Duration(0)});
         return;
     }
     Duration retryAfter{0};
--- a/tests/repeat/repeat_unit_test.cpp
+++ b/tests/repeat/repeat_unit_test.cpp
@@ -2,6 +2,7 @@
 
 #include "fake_endpoint.h"
 #include "repeat/endpoint_health.h"
+#include "repeat/planned_stop.h"
 #include "repeat/repeat_agent.h"
 #include "repeat/repeat_entry.h"
 
@@ -410,6 +411,36 @@
     CHECK(agent.lease <= Millis(1'000));
 }
 
+TEST_CASE_FIXTURE(EntryFixture, "a draining entry takes no job and sends callers elsewhere")
+{
+    addAgent();
+    entry.startDraining();
+    submit(1, "j", 1);
+    CHECK(entry.open() == 0);
+    CHECK(recorder.answers.at(CallerToken{1}).result == JobResult::Abandoned);
+}
+
+TEST_CASE("a planned stop that has finished ends soon, whatever still comes in")
+{
+    PlannedStop stop(Millis(6'000));
+    CHECK(stop.advance(START, 3) == StopPhase::Running);
+    stop.begin(START);
+    CHECK(stop.advance(START + Millis(2'500), 0) == StopPhase::Rotating);
+    CHECK(stop.advance(START + Millis(2'700), 2) == StopPhase::Closing);
+    CHECK(stop.advance(START + Millis(2'800), 0) == StopPhase::Finished);
+    CHECK(stop.advance(START + Millis(2'830), 4) == StopPhase::Finished);
+    CHECK(stop.advance(START + Millis(2'870), 4) == StopPhase::Over);
+}
+
+TEST_CASE("a planned stop with open jobs finishes before the end of the grace period")
+{
+    PlannedStop stop(Millis(6'000));
+    stop.begin(START);
+    CHECK(stop.advance(START + Millis(5'200), 9) == StopPhase::Closing);
+    CHECK(stop.advance(START + Millis(5'300), 9) == StopPhase::Finished);
+    CHECK(stop.advance(START + Millis(5'400), 9) == StopPhase::Over);
+}
+
 TEST_CASE("an endpoint that fails several jobs in a row is taken out, and comes back by one run")
 {
     EndpointHealth health;
