--- a/src/repeat/repeat_agent_view.cpp
+++ b/src/repeat/repeat_agent_view.cpp
@@ -15,6 +15,7 @@
 constexpr Duration LOOK_TIMEOUT = Millis(90); ///< Time for the answer of a look beyond its wait.
 constexpr int MISSED_LIMIT = 3; ///< Looks in a row without an answer after which the endpoint counts as silent.
 constexpr int STALL_SHARE = 40; ///< A run that makes no progress for this percentage of its expected time stands still.
+constexpr std::uint32_t WHOLE = 100; ///< Percent of a run that has only its end left.
 constexpr Duration STALL_LEAST = Millis(120); ///< Added to that time: progress is told with each look, every 150 ms at least.
 constexpr Duration LOOK_RETRY = Millis(50); ///< Pause before the next look at an endpoint that does not answer.
 constexpr Duration CLOCK_SLACK = Millis(20); ///< Difference that the mapping of clocks may have.
@@ -191,7 +192,7 @@
     std::vector<RunKey> stalled;
     for (const auto &[key, run] : runs_) {
         const Duration limit = run.expected * STALL_SHARE / 100 + STALL_LEAST;
-        if (run.state == RunState::Running && run.listedAt - run.progressAt > limit) {
+        if (run.state == RunState::Running && run.progress < WHOLE && run.listedAt - run.progressAt > limit) {
             stalled.push_back(key);
         }
     }
