Feature: Histograms of each stage; Fix: The last line of a job named the agent as its retry time

Cause: the format of event=job_over had one field less than its arguments, so the printed retry_after_ms was the slowest agent's name. Ruled out: reading it from job_refused, which prints its own.

--- a/src/agentd/repeat_agent_process.cpp
+++ b/src/agentd/repeat_agent_process.cpp
@@ -141,6 +141,7 @@
 {
     std::string text;
     writeCounters(core_.counters(), text);
+    writeHistograms("agent_stage", core_.histograms(), text);
     writeGauge("agent_held_runs", static_cast<double>(core_.held()), text);
     writeGauge("agent_free_cpu", core_.freeRoom().cpu, text);
     writeGauge("agent_entry_links", static_cast<double>(hub_.linkCount()), text);
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -14,6 +14,18 @@
 constexpr std::array<double, 3> QUANTILES = {0.5, 0.9, 0.99};
 constexpr std::string_view PREFIX = "medlarmill_";
 
+void writeHistogram(std::string_view name, std::string_view labels, const Histogram &histogram, std::string &text)
+{
+    std::uint64_t below = 0;
+    for (std::size_t bucket = 0; bucket < HISTOGRAM_BOUNDS_MS.size(); ++bucket) {
+        below += histogram.buckets[bucket];
+        text += fmt::format("{}_bucket{{{},le=\"{}\"}} {}\n", name, labels, HISTOGRAM_BOUNDS_MS[bucket], below);
+    }
+    text += fmt::format("{}_bucket{{{},le=\"+Inf\"}} {}\n", name, labels, histogram.count);
+    text += fmt::format("{}_sum{{{}}} {:.6g}\n", name, labels, histogram.sumMs);
+    text += fmt::format("{}_count{{{}}} {}\n", name, labels, histogram.count);
+}
+
 }
 
 Summary::Summary()
@@ -50,6 +62,15 @@
     }
 }
 
+void writeHistograms(std::string_view prefix, const Histograms &histograms, std::string &text)
+{
+    for (const auto &[stage, kinds] : histograms.all()) {
+        for (const auto &[kind, histogram] : kinds) {
+            writeHistogram(fmt::format("{}{}_ms", PREFIX, prefix), fmt::format("stage=\"{}\",kind=\"{}\"", stage, kind), histogram, text);
+        }
+    }
+}
+
 void writeGauge(std::string_view name, double value, std::string &text)
 {
     text += fmt::format("{}{} {:.10g}\n", PREFIX, name, value);
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/counters.h"
+#include "core/histograms.h"
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -37,6 +38,10 @@
 /** Writes counters in the text exposition format. @param counters the counters. @param text receives the lines. */
 void writeCounters(const Counters &counters, std::string &text);
 
+/** Writes distributions by stage and kind. @param prefix begins the metric's name, before `_ms`. @param histograms the distributions.
+ * @param text receives the lines. */
+void writeHistograms(std::string_view prefix, const Histograms &histograms, std::string &text);
+
 /** Writes a gauge. @param name metric name. @param value its value. @param text receives the line. */
 void writeGauge(std::string_view name, double value, std::string &text);
 
--- a/src/entry/repeat_entry_process.cpp
+++ b/src/entry/repeat_entry_process.cpp
@@ -321,6 +321,7 @@
 {
     std::string text;
     writeCounters(core_.counters(), text);
+    writeHistograms("entry_stage", core_.histograms(), text);
     writeGauge("entry_open_jobs", static_cast<double>(core_.open()), text);
     writeGauge("entry_config_version", static_cast<double>(callers_.configVersion()), text);
     writeGauge("entry_agent_links", static_cast<double>(agentPeers_.size()), text);
--- a/src/repeat/repeat_agent.cpp
+++ b/src/repeat/repeat_agent.cpp
@@ -25,6 +25,7 @@
 constexpr Duration BUSY_REPORT = Millis(100); ///< Time between load reports to an entry that has runs here.
 constexpr Duration IDLE_REPORT = Millis(150); ///< Time between load reports to other entries.
 constexpr Duration DIRTY_REPORT = Millis(15); ///< Least time between load reports about changes.
+constexpr std::string_view ALL_KINDS = "all"; ///< Orders do not name their request kind.
 
 std::string describe(const RunName &name)
 {
@@ -264,6 +265,7 @@
             run.state = RunState::Running;
             run.startedAt = std::min(run.startedAt, now_);
             run.progressAt = now_;
+            histograms_.add("wait_and_start", ALL_KINDS, now_ - run.arrivedAt);
             log_.note(fmt::format("event=run_started {} entry={:016x} waited_ms={} used_cpu={}", describe(run.name), toWire(key.first),
                                   toMillis(now_ - run.arrivedAt), used_.cpu));
         }
@@ -395,6 +397,9 @@
     log_.note(fmt::format("event=run_over {} entry={:016x} outcome={} reason={} ran_ms={} expected_ms={}", describe(run.name),
                           toWire(key.first), outcomeName(outcome), reasonInfo(reason).code, toMillis(ran), toMillis(run.expected)));
     counters_.add(outcome == repeat::RUN_DONE ? "agent_runs_done" : "agent_runs_not_done");
+    if (run.startedAt != NEVER) {
+        histograms_.add("run", ALL_KINDS, ran);
+    }
     if (run.state == RunState::Queued) {
         queue_.erase({run.rank, key});
         queuedDemand_.take(run.demand);
--- a/src/repeat/repeat_agent.h
+++ b/src/repeat/repeat_agent.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/counters.h"
+#include "core/histograms.h"
 #include "repeat/decision_log.h"
 #include "repeat/endpoint_health.h"
 #include "repeat/endpoint_port.h"
@@ -70,6 +71,12 @@
         return counters_;
     }
 
+    /** @return distributions of waiting, starting and running. */
+    const Histograms &histograms() const
+    {
+        return histograms_;
+    }
+
     /** @return room that is not taken. */
     Demand freeRoom() const;
 
@@ -186,6 +193,7 @@
     bool draining_ = false;
     Instant now_; ///< Present of the event that is handled; callbacks of the endpoint use it.
     Counters counters_;
+    Histograms histograms_;
 };
 
 }
--- a/src/repeat/repeat_entry.cpp
+++ b/src/repeat/repeat_entry.cpp
@@ -323,6 +323,7 @@
     ++job.groupAt[task.group][agent];
     if (!job.ordered) {
         job.ordered = true;
+        histograms_.add("wait", job.body.rule.kind, now - job.arrivedAt);
         --kinds_[job.body.rule.kind].pending;
     }
     orders_[task.order] = {number, position, agent, now};
@@ -373,9 +374,12 @@
         links_.sendTo(agent, std::move(message));
     }
     counters_.add(fmt::format("entry_finished_{}", resultName(result)), reason);
-    log_.note(fmt::format("event=job_over id={} kind={} result={} reason={} after_ms={} tasks_left={} callers={} retry_after_ms={}",
-                          job.body.id, job.body.rule.kind, resultName(result), reasonInfo(reason).code, toMillis(now - job.arrivedAt),
-                          job.left, job.callers.size(), job.slowestAgent, toMillis(job.slowestRun), toMillis(retryAfter)));
+    histograms_.add(fmt::format("answer_{}", resultName(result)), job.body.rule.kind, now - job.arrivedAt);
+    log_.note(
+        fmt::format("event=job_over id={} kind={} result={} reason={} after_ms={} tasks_left={} callers={} slowest_agent={} slowest_ms={} "
+                    "retry_after_ms={}",
+                    job.body.id, job.body.rule.kind, resultName(result), reasonInfo(reason).code, toMillis(now - job.arrivedAt), job.left,
+                    job.callers.size(), job.slowestAgent, toMillis(job.slowestRun), toMillis(retryAfter)));
     for (const CallerToken caller : job.callers) {
         byCaller_.erase(caller);
         callers_.answer(caller, {result, reason, retryAfter});
--- a/src/repeat/repeat_entry.h
+++ b/src/repeat/repeat_entry.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/counters.h"
+#include "core/histograms.h"
 #include "core/name_map_type.h"
 #include "repeat/decision_log.h"
 #include "repeat/placement.h"
@@ -99,6 +100,12 @@
         return counters_;
     }
 
+    /** @return distributions of waiting, running and answering. */
+    const Histograms &histograms() const
+    {
+        return histograms_;
+    }
+
 private:
     enum class TaskState : std::uint8_t {
         Blocked, ///< An earlier group is not complete.
@@ -197,6 +204,7 @@
     Instant isolatedSince_ = NEVER - std::chrono::hours(1); ///< Since when no agent has been in reach; far ahead while one is.
     Instant nextJobTick_;
     Counters counters_;
+    Histograms histograms_;
 };
 
 }
--- a/src/repeat/repeat_entry_agents.cpp
+++ b/src/repeat/repeat_entry_agents.cpp
@@ -115,7 +115,9 @@
         job.mayHaveStarted = true;
     }
     const std::string &agentName = placement_.agents().at(agent).name;
+    histograms_.add("order", job.body.rule.kind, now - ref.sentAt);
     if (report.outcome() == repeat::RUN_DONE) {
+        histograms_.add("run", job.body.rule.kind, Millis(report.run_ms()));
         if (Millis(report.run_ms()) >= job.slowestRun) {
             job.slowestRun = Millis(report.run_ms());
             job.slowestAgent = agentName;
