Change: An endpoint that fails part of its runs stays out until three runs complete

Ruled out: a lower limit of failures in a row, which takes out sound endpoints when 5% of the jobs can never succeed. Change: failures are also counted over the recent runs (limit 2.5, 0.9 kept by each completion), a trial needs three completions, pauses are forgotten after 20.

--- a/src/repeat/endpoint_health.cpp
+++ b/src/repeat/endpoint_health.cpp
@@ -11,6 +11,10 @@
 {
 
 constexpr std::uint32_t FAILED_JOBS_LIMIT = 2; ///< Different jobs that fail in a row before the endpoint is taken out.
+constexpr double FAILURES_LIMIT = 2.5; ///< Recent failures that take the endpoint out: one run in five fails for long.
+constexpr double FAILURES_KEPT = 0.9; ///< Share of the recent failures that is left after a completion.
+constexpr std::uint32_t TRIAL_RUNS = 3; ///< Completions in a row that end a trial.
+constexpr std::uint32_t SOUND_RUNS = 20; ///< Completions in a row after which earlier pauses are forgotten.
 constexpr Duration FIRST_PAUSE = Millis(500); ///< First pause without work.
 constexpr Duration LONGEST_PAUSE = Millis(4'000); ///< Longest pause; it doubles with each failed trial.
 constexpr double SLOWDOWN_WEIGHT = 0.08; ///< Weight of a new measurement; about the last dozen runs count.
@@ -22,8 +26,13 @@
 {
     failedJobs_ = 0;
     lastFailed_.clear();
-    onTrial_ = false;
-    pause_ = Duration(0);
+    recentFailures_ *= FAILURES_KEPT;
+    if (trialRunsLeft_ > 0 && --trialRunsLeft_ == 0) {
+        recentFailures_ = 0;
+    }
+    if (++completions_ >= SOUND_RUNS) {
+        pause_ = Duration(0);
+    }
     if (expected.count() > 0) {
         const double ratio = std::min(static_cast<double>(actual.count()) / static_cast<double>(expected.count()), SLOWDOWN_LIMIT);
         slowdown_ += SLOWDOWN_WEIGHT * (ratio - slowdown_);
@@ -32,7 +41,8 @@
 
 bool EndpointHealth::onFailure(std::string_view submission, Instant now)
 {
-    if (onTrial_) {
+    completions_ = 0;
+    if (isOnTrial()) {
         takeOut(now);
         return true;
     }
@@ -40,7 +50,8 @@
         return false;
     }
     lastFailed_ = submission;
-    if (++failedJobs_ < FAILED_JOBS_LIMIT) {
+    recentFailures_ += 1;
+    if (++failedJobs_ < FAILED_JOBS_LIMIT && recentFailures_ < FAILURES_LIMIT) {
         return false;
     }
     takeOut(now);
@@ -56,7 +67,8 @@
 {
     pause_ = pause_.count() == 0 ? FIRST_PAUSE : std::min(pause_ * 2, LONGEST_PAUSE);
     outUntil_ = now + pause_;
-    onTrial_ = true;
+    trialRunsLeft_ = TRIAL_RUNS;
+    failedJobs_ = 0;
 }
 
 void EndpointHealth::reset()
--- a/src/repeat/endpoint_health.h
+++ b/src/repeat/endpoint_health.h
@@ -12,8 +12,8 @@
 {
 
 /**
- * Circuit breaker of one endpoint. Failures of several jobs in a row take it out; after a pause it gets one run at a time until one
- * completes. A job that can never succeed does not take it out by itself.
+ * Circuit breaker of one endpoint. Failures of several jobs in a row, or many among its recent runs, take it out; after a pause it gets one
+ * run at a time until some have completed. A job that can never succeed does not take it out by itself.
  */
 class EndpointHealth
 {
@@ -39,7 +39,7 @@
     /** @return whether the endpoint gets one run at a time. */
     bool isOnTrial() const
     {
-        return onTrial_;
+        return trialRunsLeft_ > 0;
     }
 
     /** @return measured run time against expected run time; 1 is as expected. */
@@ -53,7 +53,9 @@
 
     std::uint32_t failedJobs_ = 0; ///< Different jobs that failed since the last completion.
     std::string lastFailed_;
-    bool onTrial_ = false;
+    double recentFailures_ = 0; ///< Failures of different jobs; each completion takes a share away.
+    std::uint32_t trialRunsLeft_ = 0; ///< Completions that end the trial; 0 when it is not on trial.
+    std::uint32_t completions_ = 0; ///< In a row.
     Instant outUntil_;
     Duration pause_{0};
     double slowdown_ = 1;
