--- a/src/repeat/repeat_agent.cpp
+++ b/src/repeat/repeat_agent.cpp
@@ -5,6 +5,7 @@
 #include "core/reason_table.h"
 #include "repeat/outcome_func.h"
 
+#include <array>
 #include <fmt/format.h>
 
 namespace medlarmill
@@ -13,8 +14,9 @@
 namespace
 {
 
-constexpr Duration START_TIMEOUT = Millis(80); ///< Time for the endpoint beside the agent to answer a start.
-constexpr int START_TRIES = 3; ///< Times that the same start is sent before the run is stopped.
+constexpr std::array<Millis, 4> START_TIMEOUTS
+    = {Millis(30), Millis(50), Millis(80),
+       Millis(80)}; ///< Time for the endpoint beside the agent to answer each sending of one start; most answers take 2 ms.
 constexpr Duration STOP_TIMEOUT = Millis(80); ///< Time for it to answer a stop.
 constexpr std::size_t QUEUE_LIMIT = 6; ///< Orders that may wait for room; covers orders of several entries that cross.
 constexpr Duration NO_ROOM_PAUSE = Millis(10); ///< Pause of starts after the endpoint refused one for want of room.
@@ -24,7 +26,7 @@
 constexpr std::uint32_t TRIAL_CPU = 8'000; ///< Room offered while the endpoint is on trial, in thousandths of a core.
 constexpr Duration BUSY_REPORT = Millis(100); ///< Time between load reports to an entry that has runs here.
 constexpr Duration IDLE_REPORT = Millis(150); ///< Time between load reports to other entries.
-constexpr Duration DIRTY_REPORT = Millis(15); ///< Least time between load reports about changes.
+constexpr Duration DIRTY_REPORT = Millis(15); ///< Least time between load reports about changes; entries may ask for a longer one.
 constexpr std::string_view ALL_KINDS = "all"; ///< Orders do not name their request kind.
 
 std::string describe(const RunName &name)
@@ -117,6 +119,7 @@
         startQueued(now);
     } else if (message.has_entry_ping()) {
         prove(message.entry_ping().stamp());
+        link.reportInterval = Millis(message.entry_ping().report_interval_ms());
     }
     reportLoad(now);
 }
@@ -237,9 +240,8 @@
 void RepeatAgent::start(const RunKey &key, Run &run, Instant now)
 {
     run.state = RunState::Starting;
-    ++run.starts;
     EndpointCall call = makeCall(true, now);
-    call.timeout = START_TIMEOUT;
+    call.timeout = START_TIMEOUTS[run.starts++];
     run.lastLeaseEnd = leaseEnd_;
     counters_.add("agent_starts");
     const std::uint64_t generation = generation_;
@@ -308,7 +310,7 @@
             break;
         }
         // The same start again is idempotent at the endpoint: one that was carried out is accepted again.
-        if (run.starts < START_TRIES && !run.stopWanted && run.deadline > now_) {
+        if (run.starts < START_TIMEOUTS.size() && !run.stopWanted && run.deadline > now_) {
             start(key, run, now_);
         } else {
             stop(key, run, Reason::NoAnswer, now_);
@@ -457,8 +459,8 @@
             continue;
         }
         const Duration age = now - link.reportedAt;
-        const bool due = age >= (busy.contains(incarnation) ? BUSY_REPORT : IDLE_REPORT);
-        if (!due && !link.urgent && !(link.dirty && age >= DIRTY_REPORT)) {
+        const bool due = age >= (busy.contains(incarnation) ? BUSY_REPORT : std::max(IDLE_REPORT, link.reportInterval));
+        if (!due && !link.urgent && !(link.dirty && age >= std::max(DIRTY_REPORT, link.reportInterval))) {
             continue;
         }
         link.reportedAt = now;
--- a/src/repeat/repeat_agent.h
+++ b/src/repeat/repeat_agent.h
@@ -110,7 +110,7 @@
         std::uint32_t progress = 0; ///< Percent when last listed.
         Instant progressAt; ///< When that changed last.
         Instant listedAt; ///< When it was listed last.
-        int starts = 0; ///< Starts that were sent.
+        std::size_t starts = 0; ///< How often its start was sent.
         Instant stopAcceptedAt = NEVER; ///< When the endpoint accepted the stop.
         Instant nextStop; ///< When the stop is sent again.
         Instant lastLeaseEnd; ///< After this instant a delayed start is refused by the endpoint.
@@ -125,6 +125,7 @@
         Instant provedAt; ///< Issue of the newest stamp that it quoted.
         OrderId lastOrder = INVALID_ORDER_ID; ///< Highest order received.
         Instant reportedAt; ///< Last load report.
+        Duration reportInterval{0}; ///< Least time between load reports that it asked for.
         bool dirty = true; ///< The load has changed since.
         bool urgent = false; ///< A run of this entry ended in this turn.
     };
--- a/src/repeat/repeat_entry.h
+++ b/src/repeat/repeat_entry.h
@@ -27,6 +27,7 @@
     Incarnation incarnation = INVALID_INCARNATION; ///< This life.
     Duration deadAfter = Millis(1'050); ///< After so long without a proof of life from here, no run ordered here is alive at an agent.
     std::size_t maxJobs = 20'000; ///< Jobs that may wait for their end.
+    double reportsPerSecond = 1'000; ///< Load reports that it asks of all agents together.
 };
 
 /**
@@ -180,6 +181,7 @@
     void finish(JobNumber number, JobResult result, Reason reason, Instant now, Duration retryAfter = Duration(0));
     void answerRefusal(CallerToken caller, const RepeatJob &job, Reason reason, Duration retryAfter);
     void ping(Incarnation incarnation, AgentStatus &agent, Instant now);
+    Duration reportInterval() const;
     void tickAgents(Instant now);
     void tickJobs(Instant now);
     JobRank rankOf(JobNumber number, const Job &job) const;
--- a/src/repeat/repeat_entry_agents.cpp
+++ b/src/repeat/repeat_entry_agents.cpp
@@ -18,6 +18,7 @@
 constexpr Duration EVIDENCE_MARGIN = Millis(300); ///< Age of a hello that waited in a buffer, beside what it says.
 constexpr Duration PING_INTERVAL = Millis(60); ///< Least time between proofs of life to an agent with orders.
 constexpr Duration IDLE_PING_INTERVAL = Millis(500); ///< The same without orders; links that are silent for 1.5 s are closed.
+constexpr Duration LONGEST_REPORT_INTERVAL = Millis(500); ///< Below the silence limit of agents without orders.
 constexpr Duration SILENCE_LIMIT = Millis(350); ///< An agent with orders that is silent for so long gets a new link.
 constexpr Duration IDLE_SILENCE_LIMIT = Millis(1'200); ///< The same for an agent without orders.
 
@@ -60,6 +61,7 @@
     for (const repeat::RunReport &report : missing) {
         onRunReport(incarnation, report, now);
     }
+    ping(incarnation, view, now);
 }
 
 void RepeatEntry::onAgentDown(Incarnation agent, Instant now)
@@ -138,11 +140,18 @@
     onTaskNotDone(ref.job, job, task, report, now);
 }
 
+Duration RepeatEntry::reportInterval() const
+{
+    const double seconds = static_cast<double>(placement_.agents().size()) / std::max(settings_.reportsPerSecond, 1.0);
+    return std::min(Duration(static_cast<Duration::rep>(seconds * 1e6)), LONGEST_REPORT_INTERVAL);
+}
+
 void RepeatEntry::ping(Incarnation incarnation, AgentStatus &agent, Instant now)
 {
     agent.provedAt = now;
     repeat::Message message;
     message.mutable_entry_ping()->set_stamp(agent.stamp);
+    message.mutable_entry_ping()->set_report_interval_ms(static_cast<std::uint32_t>(toMillis(reportInterval())));
     links_.sendTo(incarnation, std::move(message));
 }
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -15,9 +15,10 @@
 using namespace medlarmill;
 using namespace medlarmill::platform;
 
-constexpr char SETTINGS[] = "node_name=frontend-a-1\nip=10.1.0.13\nzone=a\nlisten_addrs.front=10.1.0.13:8161\n"
-                            "listen_addrs.readiness_addr=10.1.0.13:8167\nport_range=7720,7735\nseeds=10.1.0.13:8166,10.2.0.30:8166\n"
-                            "platform.address=10.200.1.7:8169\nbounds.grace_s=6\nbounds.hold_max_ms=1000\nunknown.field=1\n";
+constexpr char SETTINGS[]
+    = "node_name=frontend-a-1\nip=10.1.0.13\nzone=a\nlisten_addrs.front=10.1.0.13:8161\n"
+      "listen_addrs.readiness_addr=10.1.0.13:8167\nport_range=7720,7735\nseeds=10.1.0.13:8166,10.2.0.30:8166\n"
+      "platform.address=10.200.1.7:8169\nbounds.grace_s=6\nbounds.hold_max_ms=1000\nlimits.cpu_share=0.12\nunknown.field=1\n";
 
 constexpr char NOTICE[] = R"({"service":"s","address":"10.1.0.9:80","zone":"a","version":"v1","slots":8,"state":"ready","cold_left_ms":0,)"
                           R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1"],"clock_ms":482113,"seq_no":4,"born":17})";
@@ -36,6 +37,7 @@
     CHECK(good->linkListen == "10.1.0.13:7720");
     CHECK(good->seeds == std::vector<std::string>{"10.1.0.13:7720", "10.2.0.30:7720"});
     CHECK(good->grace == Millis(6'000));
+    CHECK(good->cpuShare == 0.12);
     const auto bad = parseDeployment("node_name=x\nip=1.2.3.4\nzone=a\nport_range=1,2\nplatform.address=nowhere\nbounds.grace_s=soon\n");
     REQUIRE_FALSE(bad.ok());
     const std::string message(bad.status().message());
--- a/tests/repeat/repeat_unit_test.cpp
+++ b/tests/repeat/repeat_unit_test.cpp
@@ -6,6 +6,7 @@
 #include "repeat/repeat_agent.h"
 #include "repeat/repeat_entry.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <functional>
 #include <map>
@@ -289,6 +290,16 @@
     void start(const EndpointCall &call, const RunName &run, const std::string & /*spec*/,
                std::function<void(EndpointAnswer)> done) override
     {
+        startTimeouts.push_back(call.timeout);
+        if (loseStarts > 0) {
+            --loseStarts;
+            answers.emplace_back([done](Instant now) {
+                EndpointAnswer answer;
+                answer.at = now;
+                done(answer);
+            });
+            return;
+        }
         answers.emplace_back([this, call, run, done](Instant now) {
             done(endpoint.start(call, run, Millis(100), false, {3'000, 64, 0}, now));
         });
@@ -326,6 +337,8 @@
     int stops = 0;
     int looks = 0;
     int loseLooks = 0;
+    int loseStarts = 0;
+    std::vector<Duration> startTimeouts;
 };
 
 struct AgentFixture
@@ -396,6 +409,62 @@
     CHECK(static_cast<Reason>(reports()[0].reason()) == Reason::Stalled);
 }
 
+TEST_CASE_FIXTURE(AgentFixture, "an entry sets the pace of load reports; its own runs are reported at once")
+{
+    constexpr Incarnation OTHER{10};
+    agent.onEntryUp(OTHER, now);
+    const auto loadReports = [this] {
+        return std::ranges::count_if(recorder.sent, [](const repeat::Message &message) {
+            return message.has_load_report();
+        });
+    };
+    const auto ask = [this](std::uint32_t intervalMs) {
+        repeat::Message ping;
+        ping.mutable_entry_ping()->set_stamp(toMillis(now.time_since_epoch()));
+        ping.mutable_entry_ping()->set_report_interval_ms(intervalMs);
+        agent.onEntryMessage(ENTRY, ping, now);
+        agent.onEntryMessage(OTHER, ping, now);
+    };
+    const auto changeTenTimes = [this] {
+        recorder.sent.clear();
+        for (int step = 0; step < 10; ++step, now += Millis(10)) {
+            agent.onNotice(port.endpoint.notice(now), now);
+        }
+    };
+    ask(300);
+    changeTenTimes();
+    CHECK(loadReports() <= 2);
+    order(1);
+    CHECK(loadReports() <= 2);
+    run(Millis(200));
+    CHECK(reports().size() == 1);
+    CHECK(loadReports() >= 1);
+    ask(0);
+    changeTenTimes();
+    CHECK(loadReports() >= 8);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "the pace of load reports falls with the number of agents")
+{
+    const auto interval = [this] {
+        return recorder.sent.back().entry_ping().report_interval_ms();
+    };
+    std::uint64_t incarnation = 100;
+    const auto addAgents = [&](int count) {
+        for (int agent = 0; agent < count; ++agent) {
+            repeat::AgentHello hello;
+            hello.set_incarnation(++incarnation);
+            entry.onAgentUp(hello, now);
+        }
+    };
+    addAgents(10);
+    CHECK(interval() == 10);
+    addAgents(90);
+    CHECK(interval() == 100);
+    addAgents(900);
+    CHECK(interval() == 500); // Agents that are silent for longer count as down.
+}
+
 TEST_CASE_FIXTURE(AgentFixture, "a look without an answer does not cost the runs that are there")
 {
     order(1);
@@ -406,6 +475,18 @@
     CHECK(reports()[0].outcome() == repeat::RUN_DONE);
 }
 
+TEST_CASE_FIXTURE(AgentFixture, "a start without an answer is sent again soon, and its run is not lost")
+{
+    port.loseStarts = 3;
+    order(1);
+    run(Millis(200));
+    REQUIRE(reports().size() == 1);
+    CHECK(reports()[0].outcome() == repeat::RUN_DONE);
+    REQUIRE(port.startTimeouts.size() == 4);
+    CHECK(port.startTimeouts[0] <= Millis(30));
+    CHECK(port.startTimeouts[0] + port.startTimeouts[1] <= Millis(80));
+}
+
 TEST_CASE_FIXTURE(AgentFixture, "an order that quotes an old stamp is refused as not started")
 {
     repeat::Message message;
