Change: Looks after one without an answer wait for a shorter time

Cause: an end is seen by a look; a look whose answer is lost held the room of ended runs for 240 ms (run of 57 ms seen after 239 ms). Ruled out: want of room at the endpoints (order_refused reason=no_room came while runs had ended).

--- a/src/repeat/repeat_agent.cpp
+++ b/src/repeat/repeat_agent.cpp
@@ -263,6 +263,7 @@
     learnClock(answer.clockMs, now_);
     switch (answer.status) {
     case EndpointCallStatus::Accepted:
+        looksMissed_ = 0;
         if (run.state == RunState::Starting) {
             run.state = RunState::Running;
             run.startedAt = std::min(run.startedAt, now_);
--- a/src/repeat/repeat_agent.h
+++ b/src/repeat/repeat_agent.h
@@ -185,7 +185,8 @@
     std::uint64_t acknowledged_ = 0;
     bool lookPending_ = false;
     bool quickLookPending_ = false; ///< A look that does not wait is under way beside the other.
-    int looksMissed_ = 0; ///< Looks in a row without an answer.
+    int looksMissed_ = 0; ///< Calls in a row without an answer; starts that are accepted count as answers.
+    int shortLooks_ = 0; ///< Next looks that wait for a shorter time.
     bool responsive_ = false; ///< Looks are answered.
     Instant nextLook_;
     Instant leaseEnd_; ///< No run can be alive after this instant unless the lease is extended again.
--- a/src/repeat/repeat_agent_view.cpp
+++ b/src/repeat/repeat_agent_view.cpp
@@ -3,6 +3,7 @@
 #include "core/reason_table.h"
 #include "repeat/repeat_agent.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace medlarmill
@@ -12,8 +13,10 @@
 {
 
 constexpr Millis LOOK_WAIT{150}; ///< How long the endpoint waits for an end before it answers a look.
-constexpr Duration LOOK_TIMEOUT = Millis(90); ///< Time for the answer of a look beyond its wait.
-constexpr int MISSED_LIMIT = 3; ///< Looks in a row without an answer after which the endpoint counts as silent.
+constexpr Millis SHORT_LOOK_WAIT{40}; ///< The same after looks without an answer: an end that such a look misses is seen sooner.
+constexpr int SHORT_LOOKS = 20; ///< Looks with the shorter wait after one without an answer.
+constexpr Duration LOOK_TIMEOUT = Millis(40); ///< Time for the answer of a look beyond its wait; most take 2 ms.
+constexpr int MISSED_LIMIT = 4; ///< Looks in a row without an answer after which the endpoint counts as silent: within 430 ms.
 constexpr int STALL_SHARE = 40; ///< A run that makes no progress for this percentage of its expected time stands still.
 constexpr std::uint32_t WHOLE = 100; ///< Percent of a run that has only its end left.
 constexpr Duration STALL_LEAST = Millis(120); ///< Added to that time: progress is told with each look, every 150 ms at least.
@@ -82,11 +85,12 @@
         return;
     }
     lookPending_ = true;
-    const bool wait = looksMissed_ == 0 && responsive_;
+    const Millis wait = !responsive_ ? Millis(0) : shortLooks_ > 0 ? SHORT_LOOK_WAIT : LOOK_WAIT;
+    shortLooks_ = std::max(0, shortLooks_ - 1);
     EndpointCall call = makeCall(responsive_ && !runs_.empty(), now);
-    call.timeout = wait ? LOOK_WAIT + LOOK_TIMEOUT : LOOK_TIMEOUT;
+    call.timeout = wait + LOOK_TIMEOUT;
     const std::uint64_t generation = generation_;
-    endpoint_.look(call, acknowledged_, wait ? LOOK_WAIT : Millis(0), [this, generation, now](const EndpointView &view) {
+    endpoint_.look(call, acknowledged_, wait, [this, generation, now](const EndpointView &view) {
         now_ = view.answer.at;
         if (generation == generation_) {
             lookPending_ = false;
@@ -156,6 +160,7 @@
 void RepeatAgent::onViewMissing(Instant now)
 {
     ++looksMissed_;
+    shortLooks_ = SHORT_LOOKS;
     counters_.add("agent_looks_unanswered");
     nextLook_ = now;
     if (looksMissed_ < MISSED_LIMIT) {
