Change: Admission by what was ordered of late, ahead of the job

Ruled out: a fixed share of the capacity, since callers are spread unevenly. Change: while there is a queue, the entry measures what it orders; a job that would be late by the on-time work ahead of it is admitted only when it should end within twice its objective behind all work; others are refused at once with the expected wait, 5 s at most.

--- /dev/null
+++ b/src/repeat/drain_rate.h
@@ -0,0 +1,36 @@
+/** @file drain_rate.h How fast the queue of an entry gets shorter, from what was ordered while jobs waited. */
+
+#pragma once
+
+#include "core/time_type.h"
+
+namespace medlarmill
+{
+
+/** Measures the work that an entry orders while it has a queue; other entries take their part of the endpoints, so capacity alone does not
+ * tell. Work is in thousandths of a core times microseconds. */
+class DrainRate
+{
+public:
+    /** Work was ordered. @param work how much. */
+    void onOrdered(double work)
+    {
+        ordered_ += work;
+    }
+
+    /** Time passed. @param now the present. @param queued whether jobs wait. */
+    void tick(Instant now, bool queued);
+
+    /** @param work work that goes first. @param capacity thousandths of a core of all endpoints; the rate while there is no queue.
+     * @return how long it takes until that work is ordered; at most an hour. */
+    Duration waitFor(double work, double capacity) const;
+
+private:
+    double ordered_ = 0; ///< Since the last sample.
+    double rate_ = 0; ///< Work for each microsecond.
+    bool measured_ = false; ///< There has been a queue for a whole sample.
+    bool queued_ = false; ///< There was a queue all the time since the last sample.
+    Instant sampledAt_;
+};
+
+}
--- a/src/repeat/repeat_entry.cpp
+++ b/src/repeat/repeat_entry.cpp
@@ -19,7 +19,9 @@
 constexpr std::size_t ANSWERS_LIMIT = 20'000; ///< Answers kept at most.
 constexpr std::size_t MISFITS_LIMIT = 12; ///< Waiting jobs that may be passed over in a row for want of room.
 constexpr Duration ISOLATION_LIMIT = Millis(400); ///< Without any agent for so long, jobs are passed on to other entries.
+constexpr double LATE_ADMITTED = 2; ///< A job that would be late is admitted when it should end within this multiple of its objective.
 constexpr Duration LEAST_RETRY = Millis(100); ///< Shortest time named to a refused caller.
+constexpr Duration LONGEST_RETRY = Millis(5'000); ///< Longest time named to a refused caller; endpoints come back within seconds.
 constexpr Duration JOB_TICK = Millis(10); ///< Time between checks of deadlines.
 
 std::size_t taskCount(const RepeatJob &job)
@@ -81,39 +83,66 @@
     return longest;
 }
 
-Duration RepeatEntry::backlogWait(std::string_view service) const
+Duration RepeatEntry::objectiveOf(const RepeatJob &job, Duration chain) const
 {
-    double work = 0; // Thousandths of a core times microseconds.
-    for (const auto &[number, job] : jobs_) {
-        if (job.body.rule.service != service || job.waiting == 0) {
+    return Duration(static_cast<Duration::rep>(static_cast<double>(chain.count()) * job.rule.slackFactor)) + job.rule.target;
+}
+
+double RepeatEntry::waitingWork(const Job &job) const
+{
+    double work = 0;
+    for (const RepeatTask &task : job.tasks) {
+        if (task.state != TaskState::Waiting && task.state != TaskState::Blocked) {
             continue;
         }
-        for (const RepeatTask &task : job.tasks) {
-            if (task.state == TaskState::Waiting || task.state == TaskState::Blocked) {
-                const TaskGroup &group = job.body.groups[task.group];
-                work += static_cast<double>(group.demand.cpu) * static_cast<double>(expectedOf(job.body, group).count());
+        const TaskGroup &group = job.body.groups[task.group];
+        work += static_cast<double>(group.demand.cpu) * static_cast<double>(expectedOf(job.body, group).count());
+    }
+    return work;
+}
+
+Duration RepeatEntry::backlogWait(std::string_view service, Instant latestStart) const
+{
+    double work = 0;
+    const auto addQueue = [&](const absl::btree_set<JobRank> &queue) {
+        for (const JobRank &rank : queue) {
+            if (rank.first > latestStart) {
+                return;
             }
+            const Job &job = jobs_.at(rank.second);
+            work += job.body.rule.service == service ? waitingWork(job) : 0;
         }
-    }
-    const std::uint64_t capacity = placement_.capacity(service);
-    return capacity == 0 ? Duration(0) : Duration(static_cast<Duration::rep>(work / static_cast<double>(capacity)));
+    };
+    addQueue(waiting_);
+    if (latestStart == NEVER) {
+        addQueue(late_);
+    }
+    const auto rate = rates_.find(service);
+    const auto capacity = static_cast<double>(placement_.capacity(service));
+    return (rate == rates_.end() ? DrainRate() : rate->second).waitFor(work, capacity);
 }
 
-Reason RepeatEntry::admissionRefusal(const RepeatJob &job, Instant /*now*/, Duration *retryAfter) const
+Reason RepeatEntry::admissionRefusal(const RepeatJob &job, Instant now, Duration *retryAfter) const
 {
     *retryAfter = LEAST_RETRY;
     if (jobs_.size() >= settings_.maxJobs) {
         return Reason::JobTableFull;
     }
     const Duration chain = longestChain(job);
-    const Duration objective
-        = Duration(static_cast<Duration::rep>(static_cast<double>(chain.count()) * job.rule.slackFactor)) + job.rule.target;
-    const Duration wait = backlogWait(job.rule.service);
-    if (job.patience.count() > 0 && wait + chain > std::max(job.patience, objective)) {
-        *retryAfter = std::max(LEAST_RETRY, wait);
-        return Reason::DeadlineUnreachable;
-    }
-    return Reason::None;
+    const Duration objective = objectiveOf(job, chain);
+    if (waiting_.empty() && late_.empty()) {
+        return Reason::None;
+    }
+    if (chain + backlogWait(job.rule.service, now + objective - chain) <= objective) {
+        return Reason::None;
+    }
+    // It would be late; late jobs get what the others leave.
+    const Duration wait = backlogWait(job.rule.service, NEVER);
+    if (static_cast<double>((chain + wait).count()) <= static_cast<double>(objective.count()) * LATE_ADMITTED) {
+        return Reason::None;
+    }
+    *retryAfter = std::clamp(wait, LEAST_RETRY, LONGEST_RETRY);
+    return Reason::DeadlineUnreachable;
 }
 
 void RepeatEntry::answerRefusal(CallerToken caller, const RepeatJob &job, Reason reason, Duration retryAfter)
@@ -158,8 +187,7 @@
     const JobNumber number{nextJob_++};
     Job job;
     const Duration chain = longestChain(body);
-    const Duration objective
-        = Duration(static_cast<Duration::rep>(static_cast<double>(chain.count()) * body.rule.slackFactor)) + body.rule.target;
+    const Duration objective = objectiveOf(body, chain);
     job.arrivedAt = now;
     job.deadline = body.patience.count() > 0 ? now + body.patience : NEVER;
     job.latestStart = now + objective - chain;
@@ -327,6 +355,8 @@
         --kinds_[job.body.rule.kind].pending;
     }
     orders_[task.order] = {number, position, agent, now};
+    rates_[job.body.rule.service].onOrdered(static_cast<double>(group.demand.cpu)
+                                            * static_cast<double>(expectedOf(job.body, group).count()));
     if (view.outstanding.empty()) {
         view.busySince = now;
     }
@@ -422,10 +452,10 @@
         }
     }
     for (const auto &[number, reason] : over) {
-        const Duration wait = backlogWait(jobs_.at(number).body.rule.service);
+        const Duration wait = backlogWait(jobs_.at(number).body.rule.service, NEVER);
         // Another entry may reach agents: the caller is to ask there.
         const JobResult result = reason == Reason::EndpointAbsent ? JobResult::Abandoned : JobResult::NotRun;
-        finish(number, result, reason, now, std::max(LEAST_RETRY, wait));
+        finish(number, result, reason, now, std::clamp(wait, LEAST_RETRY, LONGEST_RETRY));
     }
     while (!answeredOrder_.empty() && (answeredOrder_.front().first + ANSWER_KEPT < now || answeredOrder_.size() > ANSWERS_LIMIT)) {
         answered_.erase(answeredOrder_.front().second);
@@ -433,9 +463,22 @@
     }
 }
 
+void RepeatEntry::tickRates(Instant now)
+{
+    const auto hasQueue = [this](const absl::btree_set<JobRank> &queue, std::string_view service) {
+        return std::ranges::any_of(queue, [&](const JobRank &rank) {
+            return jobs_.at(rank.second).body.rule.service == service;
+        });
+    };
+    for (auto &[service, rate] : rates_) {
+        rate.tick(now, hasQueue(waiting_, service) || hasQueue(late_, service));
+    }
+}
+
 void RepeatEntry::tick(Instant now)
 {
     tickAgents(now);
+    tickRates(now);
     if (now >= nextJobTick_) {
         nextJobTick_ = now + JOB_TICK;
         tickJobs(now);
--- a/src/repeat/repeat_entry.h
+++ b/src/repeat/repeat_entry.h
@@ -6,6 +6,7 @@
 #include "core/histograms.h"
 #include "core/name_map_type.h"
 #include "repeat/decision_log.h"
+#include "repeat/drain_rate.h"
 #include "repeat/placement.h"
 #include "repeat/repeat_output.h"
 
@@ -165,9 +166,12 @@
     };
 
     Reason admissionRefusal(const RepeatJob &job, Instant now, Duration *retryAfter) const;
+    Duration objectiveOf(const RepeatJob &job, Duration chain) const;
     Duration expectedOf(const RepeatJob &job, const TaskGroup &group) const;
     Duration longestChain(const RepeatJob &job) const;
-    Duration backlogWait(std::string_view service) const;
+    double waitingWork(const Job &job) const;
+    Duration backlogWait(std::string_view service, Instant latestStart) const;
+    void tickRates(Instant now);
     void unblock(Job &job);
     bool orderTasks(JobNumber number, Job &job, Instant now);
     bool placeTasks(JobNumber number, Job &job, Instant now, std::string &placed);
@@ -200,6 +204,7 @@
     absl::flat_hash_map<SubmissionId, JobResult> answered_; ///< Recent answers; a copy of the request gets the same.
     std::deque<std::pair<Instant, SubmissionId>> answeredOrder_;
     NameMap<KindState> kinds_;
+    NameMap<DrainRate> rates_; ///< By service.
     std::uint64_t nextJob_ = 1;
     std::uint64_t nextOrder_ = 1;
     bool draining_ = false;
--- a/tests/repeat/repeat_unit_test.cpp
+++ b/tests/repeat/repeat_unit_test.cpp
@@ -444,6 +444,54 @@
     CHECK(loadReports() >= 8);
 }
 
+TEST_CASE_FIXTURE(EntryFixture, "a job that would wait too long by what was ordered of late is refused at once")
+{
+    // Room for five tasks, of which one ends every 100 ms since other entries take the rest.
+    addAgent();
+    std::uint64_t caller = 0;
+    std::uint64_t ended = 0;
+    int refused = 0;
+    for (int step = 0; step < 40; ++step, now += Millis(10)) {
+        if (step % 2 == 0) {
+            ++caller;
+            submit(caller, "j" + std::to_string(caller), 1);
+            const auto answer = recorder.answers.find(CallerToken{caller});
+            if (answer != recorder.answers.end()) {
+                ++refused;
+                CHECK(answer->second.result == JobResult::NotRun);
+                CHECK(answer->second.reason == Reason::DeadlineUnreachable);
+                CHECK(answer->second.retryAfter >= Millis(100));
+                CHECK(answer->second.retryAfter <= Millis(5'000));
+            }
+        }
+        if (step % 10 == 9) {
+            end(++ended, repeat::RUN_DONE);
+            report(3'000, ended + 4);
+        } else {
+            report(0, recorder.orders().size());
+        }
+        entry.tick(now);
+    }
+    CHECK(refused >= 3);
+}
+
+TEST_CASE("the drain rate counts only while there is a queue")
+{
+    DrainRate rate;
+    Instant now = START;
+    CHECK(rate.waitFor(16e9, 16'000) == Millis(1'000));
+    for (int step = 0; step < 100; ++step, now += Millis(10)) {
+        rate.onOrdered(16e6); // A tenth of the capacity.
+        rate.tick(now, true);
+    }
+    CHECK(rate.waitFor(16e9, 16'000) > Millis(9'000));
+    CHECK(rate.waitFor(16e9, 16'000) < Millis(11'000));
+    rate.tick(now, false);
+    CHECK(rate.waitFor(16e9, 16'000) == Millis(1'000));
+    CHECK(rate.waitFor(0, 0) == Millis(0));
+    CHECK(rate.waitFor(1, 0) == std::chrono::hours(1));
+}
+
 TEST_CASE_FIXTURE(EntryFixture, "the pace of load reports falls with the number of agents")
 {
     const auto interval = [this] {
