--- a/src/repeat/repeat_entry.cpp
+++ b/src/repeat/repeat_entry.cpp
@@ -17,6 +17,7 @@
 constexpr Duration UNDECLARED = Millis(200); ///< Expected run time of a task without a declared one.
 constexpr Duration ANSWER_KEPT = Millis(10'000); ///< How long answers are repeated to copies of the request.
 constexpr std::size_t ANSWERS_LIMIT = 20'000; ///< Answers kept at most.
+constexpr std::size_t KINDS_LIMIT = 1'000; ///< Request kinds, and services, of which measurements are kept; configurations rename them.
 constexpr std::size_t MISFITS_LIMIT = 12; ///< Waiting jobs that may be passed over in a row for want of room.
 constexpr Duration ISOLATION_LIMIT = Millis(400); ///< Without any agent for so long, jobs are passed on to other entries.
 constexpr double LATE_ADMITTED = 2; ///< A job that would be late is admitted when it should end within this multiple of its objective.
@@ -461,6 +462,14 @@
         answered_.erase(answeredOrder_.front().second);
         answeredOrder_.pop_front();
     }
+    if (kinds_.size() > KINDS_LIMIT) {
+        std::erase_if(kinds_, [](const auto &kind) {
+            return kind.second.pending == 0;
+        });
+    }
+    if (rates_.size() > KINDS_LIMIT) {
+        rates_.clear();
+    }
 }
 
 void RepeatEntry::tickRates(Instant now)
--- a/src/repeat/repeat_entry.h
+++ b/src/repeat/repeat_entry.h
@@ -90,6 +90,12 @@
         return jobs_.size();
     }
 
+    /** @return request kinds of which measurements are kept. */
+    std::size_t kindCount() const
+    {
+        return kinds_.size();
+    }
+
     /** @return what is known of the endpoints. */
     const Placement &placement() const
     {
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import random
 import threading
 import time
 import urllib.parse
@@ -18,6 +19,7 @@
         self.lock = threading.Lock()
         self.alive = {}
         self.starts = {}
+        self.done = {}
         self.violations = []
 
     def start(self, endpoint, task):
@@ -28,9 +30,11 @@
             job = task.split(".")[0]
             self.starts.setdefault(job, []).append(time.monotonic())
 
-    def end(self, endpoint, task):
+    def end(self, endpoint, task, how):
         with self.lock:
             self.alive[task].remove(endpoint)
+            if how == "done":
+                self.done.setdefault(task.split(".")[0], set()).add(task)
 
 
 class Server:
@@ -48,7 +52,10 @@
                 body = self.rfile.read(length)
                 parts = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(parts.query, keep_blank_values=True))
-                status, answer = owner.answer(self.command, parts.path, query, body, self.headers)
+                status, answer = owner.answer_to(self.client_address[0], self.command, parts.path, query, body, self.headers)
+                if status is None:
+                    self.close_connection = True
+                    return
                 data = json.dumps(answer).encode()
                 try:
                     self.send_response(status)
@@ -69,6 +76,10 @@
         self.server = ThreadingHTTPServer((ip, port), Handler)
         threading.Thread(target=self.server.serve_forever, args=(0.05,), daemon=True).start()
 
+    def answer_to(self, caller, method, path, query, body, headers):
+        """@return status and body; no status closes the connection without an answer."""
+        return self.answer(method, path, query, body, headers)
+
     def close(self):
         self.server.shutdown()
         self.server.server_close()
@@ -83,7 +94,10 @@
         self.history = []
         self.version = 1
         self.down = False
-        self.turned_away = set()
+        self.slow_s = 0
+        self.lost = 0  # Share of the answers that are lost after the work was done.
+        self.turned_away = set()  # Callers that get 503.
+        self.forget = False  # The next feed is told that its history is gone.
         super().__init__(ip, port)
 
     def put(self, table, key, value):
@@ -97,9 +111,14 @@
     def view(self, rows):
         return {"rows": rows, "has_more": False, "row_version": self.version, "now_ms": int(time.monotonic() * 1000)}
 
-    def answer(self, method, path, query, body, headers):
-        if self.down:
+    def answer_to(self, caller, method, path, query, body, headers):
+        if self.down or caller in self.turned_away:
             return 503, {}
+        time.sleep(self.slow_s)
+        status, answer = self.answer(method, path, query, body, headers)
+        return (None if random.random() < self.lost else status), answer
+
+    def answer(self, method, path, query, body, headers):
         if path.endswith("rows-get"):
             with self.changed:
                 return 200, self.view([row for (table, _), row in sorted(self.rows.items()) if table == query["table"]])
@@ -114,6 +133,9 @@
         return 200, self.view([])
 
     def feed(self, query):
+        if self.forget:
+            self.forget = False
+            return 410, {}
         since = int(query["depends_on"])
         until = time.monotonic() + int(query["wait_ms"]) / 1000
         with self.changed:
@@ -142,6 +164,10 @@
         self.ends = []
         self.next_end = 1
         self.sequence = 0
+        self.late = 0  # Share of the starts and stops that get no answer and are carried out seconds later.
+        self.lost = 0  # Share of the answers that are lost after the work was done.
+        self.failing = 0  # Share of the runs that fail.
+        self.slow = 1  # Factor of all run times.
         threading.Thread(target=self.work, daemon=True).start()
         super().__init__(ip, port)
         self.address = f"{ip}:{port}"
@@ -163,15 +189,34 @@
                 for (task, attempt), run in list(self.runs.items()):
                     if not lapsed and now < run["end"]:
                         continue
-                    how = "lapsed" if lapsed else "stopped" if run["stopping"] else "done"
+                    how = "lapsed" if lapsed else "stopped" if run["stopping"] else "failed" if run["fails"] else "done"
                     del self.runs[(task, attempt)]
                     self.floor[task] = max(self.floor.get(task, 0), attempt)
                     self.ends.append([self.next_end, task, attempt, how, ""])
                     self.next_end += 1
-                    self.oracle.end(self.name, task)
+                    self.oracle.end(self.name, task, how)
                     self.lock.notify_all()
             time.sleep(0.002)
 
+    def reborn(self):
+        """It crashes and starts again under its id; everything that ran is over."""
+        with self.lock:
+            for task, _ in self.runs:
+                self.oracle.end(self.name, task, "crashed")
+            self.runs, self.floor, self.ends, self.next_end, self.sequence = {}, {}, [], 1, 0
+            self.born, self.began, self.token, self.lease = int(time.time() * 1000), time.monotonic(), 0, 0
+
+    def answer_late(self, born, *request):
+        if born == self.born:  # Orders under way end with the incarnation.
+            self.answer(*request)
+
+    def answer_to(self, caller, method, path, query, body, headers):
+        if not path.endswith("hold") and random.random() < self.late:
+            threading.Timer(random.uniform(1, 4), self.answer_late, (self.born, method, path, query, body, headers)).start()
+            return None, {}
+        status, answer = self.answer(method, path, query, body, headers)
+        return (None if random.random() < self.lost else status), answer
+
     def answer(self, method, path, query, body, headers):
         request = json.loads(body)
         with self.lock:
@@ -203,8 +248,9 @@
             return 409, reply | {"reason": "old"}
         if (len(self.runs) + 1) * 3000 > self.cpu:
             return 409, reply | {"reason": "room"}
-        run_s = int(request["spec"].split()[0]) / 1000
-        self.runs[key] = {"begin": time.monotonic(), "end": time.monotonic() + run_s, "stopping": False}
+        run_s = int(request["spec"].split()[0]) / 1000 * self.slow
+        self.runs[key] = {"begin": time.monotonic(), "end": time.monotonic() + run_s, "stopping": False,
+                          "fails": random.random() < self.failing}
         self.oracle.start(self.name, key[0])
         return 200, reply
 
--- a/tests/repeat/repeat_unit_test.cpp
+++ b/tests/repeat/repeat_unit_test.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 #include <functional>
 #include <map>
 #include <utility>
@@ -113,7 +114,8 @@
         entry.pump(now);
     }
 
-    void submit(std::uint64_t caller, const std::string &id, std::uint32_t count, std::uint32_t maxFailures = 2)
+    void submit(std::uint64_t caller, const std::string &id, std::uint32_t count, std::uint32_t maxFailures = 2,
+                const std::string &kind = "check")
     {
         RepeatJob job;
         job.id = id;
@@ -122,7 +124,7 @@
         group.demand = {3'000, 64, 0};
         group.declared = Millis(100);
         job.groups = {group};
-        job.rule = {"check", "desk", 0, maxFailures, 1.6, Millis(60), Millis(0)};
+        job.rule = {kind, "desk", 0, maxFailures, 1.6, Millis(60), Millis(0)};
         job.patience = Millis(2'000);
         entry.submit(CallerToken{caller}, job, now);
         entry.pump(now);
@@ -475,6 +477,20 @@
     CHECK(refused >= 3);
 }
 
+TEST_CASE_FIXTURE(EntryFixture, "measurements of request kinds that are gone do not pile up")
+{
+    addAgent();
+    for (std::uint64_t job = 1; job <= 3'000; ++job) {
+        submit(job, fmt::format("j{}", job), 1, 2, fmt::format("kind{}", job));
+        end(job, repeat::RUN_DONE);
+        now += Millis(20);
+        report(16'000, job);
+        entry.tick(now);
+    }
+    CHECK(entry.open() == 0);
+    CHECK(entry.kindCount() <= 1'001);
+}
+
 TEST_CASE("the drain rate counts only while there is a queue")
 {
     DrainRate rate;
