Fix: Runs that an endpoint started after it was born again under its id were reported as lost

The fuzzer had missed it: its endpoints changed their id at the first rebirth; they keep it now. Change: an announcement of a new incarnation under the same id keeps the runs; its list decides. Lists and clocks of an earlier incarnation are ignored, the token grows with each one. Found by reading beside it: a start that was sent again and then refused was reported as not started although the first sending may have been carried out; it is stopped and waited for, and an old attempt waits for its listed end.

--- a/src/repeat/repeat_agent.cpp
+++ b/src/repeat/repeat_agent.cpp
@@ -245,11 +245,15 @@
     run.lastLeaseEnd = leaseEnd_;
     counters_.add("agent_starts");
     const std::uint64_t generation = generation_;
-    endpoint_.start(call, run.name, run.spec, [this, key, generation](const EndpointAnswer &answer) {
+    endpoint_.start(call, run.name, run.spec, [this, key, generation, incarnation = incarnation_](const EndpointAnswer &answer) {
         now_ = answer.at;
-        if (generation == generation_) {
-            onStartAnswer(key, answer);
+        if (generation != generation_) {
+            return;
+        }
+        if (incarnation == incarnation_) {
+            learnClock(answer.clockMs, now_);
         }
+        onStartAnswer(key, answer);
     });
 }
 
@@ -260,7 +264,6 @@
         return;
     }
     Run &run = found->second;
-    learnClock(answer.clockMs, now_);
     switch (answer.status) {
     case EndpointCallStatus::Accepted:
         looksMissed_ = 0;
@@ -278,23 +281,30 @@
         break;
     case EndpointCallStatus::NoRoom:
         blockedUntil_ = now_ + NO_ROOM_PAUSE;
-        finish(key, repeat::RUN_NOT_STARTED, Reason::NoRoom, now_);
+        finishRefused(key, run, Reason::NoRoom);
         break;
     case EndpointCallStatus::TooLate:
-        finish(key, repeat::RUN_NOT_STARTED, Reason::StaleLease, now_);
+        finishRefused(key, run, Reason::StaleLease);
         break;
     case EndpointCallStatus::OldAttempt:
+        if (run.starts > 1) {
+            // An earlier sending was carried out and is over; its end will be listed.
+            run.state = RunState::Running;
+            run.startedAt = std::min(run.startedAt, now_);
+            run.progressAt = now_;
+            break;
+        }
         finish(key, repeat::RUN_NOT_STARTED, Reason::OldAttempt, now_, run.name.attempt + ATTEMPT_STEP);
         break;
     case EndpointCallStatus::Fenced:
         fencingToken_ = std::max(fencingToken_ + 1, answer.clockMs);
         log_.warn(fmt::format("event=fenced endpoint={} new_token={}", notice_->id, fencingToken_));
-        finish(key, repeat::RUN_NOT_STARTED, Reason::Fenced, now_);
+        finishRefused(key, run, Reason::Fenced);
         break;
     case EndpointCallStatus::Unhealthy:
         health_.onRefusal(now_);
         log_.warn(fmt::format("event=endpoint_out endpoint={} reason=refused_as_unhealthy", notice_->id));
-        finish(key, repeat::RUN_NOT_STARTED, Reason::EndpointUnhealthy, now_);
+        finishRefused(key, run, Reason::EndpointUnhealthy);
         break;
     case EndpointCallStatus::Malformed:
         finish(key, repeat::RUN_FAILED, Reason::Malformed, now_);
@@ -322,6 +332,17 @@
     reportLoad(now_);
 }
 
+void RepeatAgent::finishRefused(const RunKey &key, Run &run, Reason reason)
+{
+    if (run.starts == 1) {
+        finish(key, repeat::RUN_NOT_STARTED, reason, now_);
+        return;
+    }
+    // An earlier sending of this start was not answered and may have been carried out, or will be.
+    run.reason = reason;
+    stop(key, run, Reason::NoAnswer, now_);
+}
+
 void RepeatAgent::stop(const RunKey &key, Run &run, Reason reason, Instant now)
 {
     run.reason = run.reason == Reason::None ? reason : run.reason;
@@ -357,7 +378,7 @@
     EndpointCall call = makeCall(false, now);
     call.timeout = STOP_TIMEOUT;
     const std::uint64_t generation = generation_;
-    endpoint_.stop(call, run.name, [this, key, generation](const EndpointAnswer &answer) {
+    endpoint_.stop(call, run.name, [this, key, generation, incarnation = incarnation_](const EndpointAnswer &answer) {
         now_ = answer.at;
         const auto found = runs_.find(key);
         if (generation != generation_ || found == runs_.end()) {
@@ -365,7 +386,9 @@
         }
         found->second.stopPending = false;
         if (answer.status == EndpointCallStatus::Accepted) {
-            learnClock(answer.clockMs, now_);
+            if (incarnation == incarnation_) {
+                learnClock(answer.clockMs, now_);
+            }
             found->second.stopAcceptedAt = std::min(found->second.stopAcceptedAt, now_);
             lookAtOnce(now_);
         } else if (answer.status == EndpointCallStatus::Fenced) {
--- a/src/repeat/repeat_agent.h
+++ b/src/repeat/repeat_agent.h
@@ -142,6 +142,7 @@
     void startQueued(Instant now);
     void start(const RunKey &key, Run &run, Instant now);
     void onStartAnswer(const RunKey &key, const EndpointAnswer &answer);
+    void finishRefused(const RunKey &key, Run &run, Reason reason);
     void stop(const RunKey &key, Run &run, Reason reason, Instant now);
     void sendStop(const RunKey &key, Run &run, Instant now);
     void stopForeign(const RunName &name, Instant now);
@@ -159,6 +160,7 @@
     void dropOrphans(Instant now);
     void reportLoad(Instant now);
     void markDirty();
+    void beginIncarnation(std::uint64_t bornUnixMs, std::uint64_t clockMs);
     void learnClock(std::uint64_t clockMs, Instant now);
     bool isAccepting(Instant now) const;
     EndpointCall makeCall(bool extendLease, Instant now);
@@ -178,7 +180,8 @@
     Demand queuedDemand_; ///< Room that queued runs will need.
     std::optional<EndpointNotice> notice_;
     std::uint64_t newestBorn_ = 0;
-    std::uint64_t generation_ = 0; ///< Grows with each incarnation of the endpoint.
+    std::uint64_t generation_ = 0; ///< Grows when all runs are lost; answers to earlier calls are ignored.
+    std::uint64_t incarnation_ = 0; ///< Grows with each incarnation of the endpoint; clocks in answers to earlier calls are ignored.
     std::uint64_t fencingToken_ = 0;
     std::uint64_t clockMs_ = 0; ///< Endpoint's clock at clockAt_.
     Instant clockAt_;
--- a/src/repeat/repeat_agent_view.cpp
+++ b/src/repeat/repeat_agent_view.cpp
@@ -46,14 +46,15 @@
         return false;
     }
     if (!same) {
-        loseAll(Reason::EndpointRestarted, now);
-        newestBorn_ = notice.bornUnixMs;
-        health_.reset();
-        acknowledged_ = 0;
-        clockMs_ = 0;
-        fencingToken_ = std::max<std::uint64_t>(notice.clockMs, 1);
-        responsive_ = false;
-        lookPending_ = false;
+        if (notice_.has_value() && notice_->id == notice.id && !notice_->gone) {
+            // Starts under way may have been carried out by the new incarnation; its next list tells which runs are there.
+            log_.warn(fmt::format("event=endpoint_reborn endpoint={} born={} held={}", notice.id, notice.bornUnixMs, runs_.size()));
+        } else {
+            loseAll(Reason::EndpointRestarted, now);
+            responsive_ = false;
+            lookPending_ = false;
+        }
+        beginIncarnation(notice.bornUnixMs, notice.clockMs);
         nextLook_ = now;
         log_.note(fmt::format("event=endpoint_up endpoint={} service={} address={} born={} cpu={} mem_mb={} token={}", notice.id,
                               notice.service, notice.address, notice.bornUnixMs, notice.capacity.cpu, notice.capacity.memMb,
@@ -71,6 +72,17 @@
     return true;
 }
 
+void RepeatAgent::beginIncarnation(std::uint64_t bornUnixMs, std::uint64_t clockMs)
+{
+    ++incarnation_;
+    newestBorn_ = bornUnixMs;
+    health_.reset();
+    acknowledged_ = 0;
+    clockMs_ = 0;
+    // Higher than before: orders to an earlier incarnation that are carried out late are refused.
+    fencingToken_ = std::max(fencingToken_ + 1, clockMs);
+}
+
 void RepeatAgent::learnClock(std::uint64_t clockMs, Instant now)
 {
     if (clockMs > clockMs_) {
@@ -179,13 +191,15 @@
 
 void RepeatAgent::takeView(const EndpointView &view, Instant sentAt, Instant now)
 {
-    if (view.bornUnixMs != 0 && view.bornUnixMs != notice_->bornUnixMs) {
-        log_.warn(fmt::format("event=endpoint_reborn endpoint={} born={}", notice_->id, view.bornUnixMs));
-        notice_->bornUnixMs = std::max(view.bornUnixMs, notice_->bornUnixMs);
-        newestBorn_ = std::max(newestBorn_, notice_->bornUnixMs);
+    if (view.bornUnixMs != 0 && view.bornUnixMs < notice_->bornUnixMs) {
+        counters_.add("agent_views_late");
+        return; // The list of an earlier incarnation.
+    }
+    if (view.bornUnixMs > notice_->bornUnixMs) {
+        log_.warn(fmt::format("event=endpoint_reborn endpoint={} born={} held={}", notice_->id, view.bornUnixMs, runs_.size()));
+        notice_->bornUnixMs = view.bornUnixMs;
         notice_->sequence = 0;
-        acknowledged_ = 0;
-        clockMs_ = 0;
+        beginIncarnation(view.bornUnixMs, view.answer.clockMs);
     }
     learnClock(view.answer.clockMs, now);
     takeEnds(view, now);
--- a/tests/repeat/fake_endpoint.cpp
+++ b/tests/repeat/fake_endpoint.cpp
@@ -256,6 +256,7 @@
     floor_.clear();
     ends_.clear();
     ++life_;
+    idLife_ = sameId ? idLife_ : life_;
     bornAt_ = now;
     token_ = 0;
     leaseMs_ = 0;
@@ -267,7 +268,7 @@
 EndpointNotice FakeEndpoint::notice(Instant now)
 {
     EndpointNotice notice;
-    notice.id = sameId ? fmt::format("i-{}", number_) : fmt::format("i-{}-{}", number_, life_);
+    notice.id = fmt::format("i-{}-{}", number_, idLife_);
     notice.service = "desk";
     notice.address = "127.0.0.1:1";
     notice.bornUnixMs = 1 + toMillis(bornAt_.time_since_epoch());
--- a/tests/repeat/fake_endpoint.h
+++ b/tests/repeat/fake_endpoint.h
@@ -110,6 +110,7 @@
     int number_;
     Oracle &oracle_;
     int life_ = 1;
+    int idLife_ = 1; ///< Part of its id.
     Instant bornAt_;
     std::uint64_t token_ = 0;
     std::uint64_t leaseMs_ = 0;
--- a/tests/repeat/repeat_unit_test.cpp
+++ b/tests/repeat/repeat_unit_test.cpp
@@ -551,6 +551,42 @@
     CHECK(port.startTimeouts[0] + port.startTimeouts[1] <= Millis(80));
 }
 
+TEST_CASE_FIXTURE(AgentFixture, "a run that started after its endpoint was born again is not reported as lost while it is alive")
+{
+    order(1);
+    run(Millis(30));
+    port.endpoint.sameId = true;
+    port.endpoint.crash(now);
+    now += Millis(1);
+    order(2); // The agent does not know yet; the new incarnation carries the start out.
+    port.step(now);
+    agent.onNotice(port.endpoint.notice(now), now);
+    run(Millis(40));
+    REQUIRE(reports().size() == 1);
+    CHECK(reports()[0].order() == 1);
+    CHECK(reports()[0].outcome() == repeat::RUN_LOST);
+    run(Millis(200));
+    REQUIRE(reports().size() == 2);
+    CHECK(reports()[1].order() == 2);
+    CHECK(reports()[1].outcome() == repeat::RUN_DONE);
+}
+
+TEST_CASE_FIXTURE(AgentFixture,
+                  "a refused start whose earlier sending was not answered is not reported as not started before that is certain")
+{
+    port.loseStarts = 1;
+    order(1);
+    port.step(now); // The first sending is lost, the second under way.
+    port.endpoint.capacity = {0, 0, 0};
+    port.step(now);
+    CHECK(reports().empty());
+    CHECK(agent.held() == 1);
+    run(Millis(700));
+    REQUIRE(reports().size() == 1);
+    CHECK(reports()[0].outcome() == repeat::RUN_NOT_STARTED);
+    CHECK(port.stops >= 1);
+}
+
 TEST_CASE_FIXTURE(AgentFixture, "an order that quotes an old stamp is refused as not started")
 {
     repeat::Message message;
