--- a/src/load/decision_bench.cpp
+++ b/src/load/decision_bench.cpp
@@ -261,8 +261,8 @@
 {
     AgentBenchOutput output;
     AgentSettings settings;
-    settings.name = "endpoint";
-    settings.service = "s";
+    settings.name = std::string("endpoint");
+    settings.service = std::string("s");
     settings.incarnation = toIncarnation(5);
     settings.slots = SLOTS;
     settings.maxRecords = 10'000'000;
