--- /dev/null
+++ b/tests/repeat/repeat_agent_test.cpp
@@ -0,0 +1,277 @@
+/** @file repeat_agent_test.cpp Single decisions of an agent about repeatable jobs. */
+
+#include "fake_endpoint.h"
+#include "repeat/repeat_agent.h"
+#include "repeat_recorder.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <functional>
+#include <utility>
+
+namespace
+{
+
+using namespace medlarmill;
+using namespace medlarmill::fake;
+
+class SteppedPort : public EndpointPort
+{
+public:
+    void start(const EndpointCall &call, const RunName &run, const std::string & /*spec*/,
+               std::function<void(EndpointAnswer)> done) override
+    {
+        startTimeouts.push_back(call.timeout);
+        if (loseStarts > 0) {
+            --loseStarts;
+            answers.emplace_back([done](Instant now) {
+                EndpointAnswer answer;
+                answer.at = now;
+                done(answer);
+            });
+            return;
+        }
+        answers.emplace_back([this, call, run, done](Instant now) {
+            done(endpoint.start(call, run, Millis(100), false, {3'000, 64, 0}, now));
+        });
+    }
+    void stop(const EndpointCall &call, const RunName &run, std::function<void(EndpointAnswer)> done) override
+    {
+        ++stops;
+        answers.emplace_back([this, call, run, done](Instant now) {
+            done(endpoint.stop(call, run, now));
+        });
+    }
+    void look(const EndpointCall &call, std::uint64_t acknowledged, Millis /*wait*/, std::function<void(EndpointView)> done) override
+    {
+        ++looks;
+        const bool lost = loseLooks > 0 && loseLooks-- > 0;
+        answers.emplace_back([this, call, acknowledged, done, lost](Instant now) {
+            EndpointView view = endpoint.look(call, acknowledged, now);
+            if (lost) {
+                view = EndpointView();
+                view.answer.at = now;
+            }
+            done(view);
+        });
+    }
+    void step(Instant now)
+    {
+        for (const auto &answer : std::exchange(answers, {})) {
+            answer(now);
+        }
+    }
+
+    fake::Oracle oracle;
+    fake::FakeEndpoint endpoint{1, oracle};
+    std::vector<std::function<void(Instant)>> answers;
+    int stops = 0;
+    int looks = 0;
+    int loseLooks = 0;
+    int loseStarts = 0;
+    std::vector<Duration> startTimeouts;
+};
+
+struct AgentFixture
+{
+    AgentFixture()
+        : agent({"agent", "a", AGENT}, recorder, port, log)
+    {
+        agent.onEntryUp(ENTRY, now);
+        agent.onNotice(port.endpoint.notice(now), now);
+        run(Millis(40));
+    }
+
+    void run(Duration span)
+    {
+        for (const Instant end = now + span; now < end; now += Millis(10)) {
+            port.endpoint.advance(now);
+            port.step(now);
+            repeat::Message ping;
+            ping.mutable_entry_ping()->set_stamp(toMillis(now.time_since_epoch()));
+            agent.onEntryMessage(ENTRY, ping, now);
+            agent.tick(now);
+        }
+    }
+
+    void order(std::uint64_t number)
+    {
+        repeat::Message message;
+        repeat::RunOrder *order = message.mutable_run_order();
+        order->set_order(number);
+        order->set_submission("j" + std::to_string(number));
+        order->set_attempt(1);
+        order->set_cpu(3'000);
+        order->set_mem(64);
+        order->set_time_left_ms(5'000);
+        order->set_expected_ms(100);
+        order->set_stamp(toMillis(now.time_since_epoch()));
+        agent.onEntryMessage(ENTRY, message, now);
+    }
+
+    std::vector<repeat::RunReport> reports() const
+    {
+        std::vector<repeat::RunReport> found;
+        for (const repeat::Message &message : recorder.sent) {
+            if (message.has_run_report()) {
+                found.push_back(message.run_report());
+            }
+        }
+        return found;
+    }
+
+    static constexpr Incarnation ENTRY{9};
+    EntryRecorder recorder;
+    SteppedPort port;
+    NullDecisionLog log;
+    RepeatAgent agent;
+    Instant now = START;
+};
+
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "a run that stands still is stopped within a few hundred milliseconds")
+{
+    port.endpoint.hang = true;
+    order(1);
+    run(Millis(300));
+    REQUIRE(reports().size() == 1);
+    CHECK(reports()[0].outcome() == repeat::RUN_LOST);
+    CHECK(static_cast<Reason>(reports()[0].reason()) == Reason::Stalled);
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "an entry sets the pace of load reports; its own runs are reported at once")
+{
+    constexpr Incarnation OTHER{10};
+    agent.onEntryUp(OTHER, now);
+    const auto loadReports = [this] {
+        return std::ranges::count_if(recorder.sent, [](const repeat::Message &message) {
+            return message.has_load_report();
+        });
+    };
+    const auto ask = [this](std::uint32_t intervalMs) {
+        repeat::Message ping;
+        ping.mutable_entry_ping()->set_stamp(toMillis(now.time_since_epoch()));
+        ping.mutable_entry_ping()->set_report_interval_ms(intervalMs);
+        agent.onEntryMessage(ENTRY, ping, now);
+        agent.onEntryMessage(OTHER, ping, now);
+    };
+    const auto changeTenTimes = [this] {
+        recorder.sent.clear();
+        for (int step = 0; step < 10; ++step, now += Millis(10)) {
+            agent.onNotice(port.endpoint.notice(now), now);
+        }
+    };
+    ask(300);
+    changeTenTimes();
+    CHECK(loadReports() <= 2);
+    order(1);
+    CHECK(loadReports() <= 2);
+    run(Millis(200));
+    CHECK(reports().size() == 1);
+    CHECK(loadReports() >= 1);
+    ask(0);
+    changeTenTimes();
+    CHECK(loadReports() >= 8);
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "a look without an answer does not cost the runs that are there")
+{
+    order(1);
+    run(Millis(30));
+    port.loseLooks = 2;
+    run(Millis(150));
+    REQUIRE(reports().size() == 1);
+    CHECK(reports()[0].outcome() == repeat::RUN_DONE);
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "a start without an answer is sent again soon, and its run is not lost")
+{
+    port.loseStarts = 3;
+    order(1);
+    run(Millis(200));
+    REQUIRE(reports().size() == 1);
+    CHECK(reports()[0].outcome() == repeat::RUN_DONE);
+    REQUIRE(port.startTimeouts.size() == 4);
+    CHECK(port.startTimeouts[0] <= Millis(30));
+    CHECK(port.startTimeouts[0] + port.startTimeouts[1] <= Millis(80));
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "a run that started after its endpoint was born again is not reported as lost while it is alive")
+{
+    order(1);
+    run(Millis(30));
+    port.endpoint.sameId = true;
+    port.endpoint.crash(now);
+    now += Millis(1);
+    order(2); // The agent does not know yet; the new incarnation carries the start out.
+    port.step(now);
+    agent.onNotice(port.endpoint.notice(now), now);
+    run(Millis(40));
+    REQUIRE(reports().size() == 1);
+    CHECK(reports()[0].order() == 1);
+    CHECK(reports()[0].outcome() == repeat::RUN_LOST);
+    run(Millis(200));
+    REQUIRE(reports().size() == 2);
+    CHECK(reports()[1].order() == 2);
+    CHECK(reports()[1].outcome() == repeat::RUN_DONE);
+}
+
+TEST_CASE_FIXTURE(AgentFixture,
+                  "a refused start whose earlier sending was not answered is not reported as not started before that is certain")
+{
+    port.loseStarts = 1;
+    order(1);
+    port.step(now); // The first sending is lost, the second under way.
+    port.endpoint.capacity = {0, 0, 0};
+    port.step(now);
+    CHECK(reports().empty());
+    CHECK(agent.held() == 1);
+    run(Millis(700));
+    REQUIRE(reports().size() == 1);
+    CHECK(reports()[0].outcome() == repeat::RUN_NOT_STARTED);
+    CHECK(port.stops >= 1);
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "an order that quotes an old stamp is refused as not started")
+{
+    repeat::Message message;
+    message.mutable_run_order()->set_order(1);
+    message.mutable_run_order()->set_submission("j");
+    message.mutable_run_order()->set_stamp(toMillis((now - Millis(500)).time_since_epoch()));
+    agent.onEntryMessage(ENTRY, message, now);
+    REQUIRE(reports().size() == 1);
+    CHECK(reports()[0].outcome() == repeat::RUN_NOT_STARTED);
+    CHECK(static_cast<Reason>(reports()[0].reason()) == Reason::StaleLease);
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "late announcements and foreign ids change nothing; a leaving endpoint gets no work")
+{
+    EndpointNotice old = port.endpoint.notice(now);
+    EndpointNotice newer = port.endpoint.notice(now);
+    CHECK(agent.onNotice(newer, now));
+    CHECK_FALSE(agent.onNotice(old, now));
+    EndpointNotice gone;
+    gone.id = "i-other";
+    gone.gone = true;
+    CHECK_FALSE(agent.onNotice(gone, now));
+    port.endpoint.draining = true;
+    CHECK(agent.onNotice(port.endpoint.notice(now), now));
+    order(1);
+    REQUIRE(reports().size() == 1);
+    CHECK(static_cast<Reason>(reports()[0].reason()) == Reason::Leaving);
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "runs of an entry that is silent are stopped")
+{
+    port.endpoint.hang = true;
+    order(1);
+    run(Millis(20));
+    for (int step = 0; step < 60; ++step, now += Millis(10)) {
+        port.endpoint.advance(now);
+        port.step(now);
+        agent.tick(now);
+    }
+    CHECK(agent.held() == 0);
+    CHECK(port.stops >= 1);
+}
--- /dev/null
+++ b/tests/repeat/repeat_entry_test.cpp
@@ -0,0 +1,290 @@
+/** @file repeat_entry_test.cpp Single decisions of an entry about repeatable jobs. */
+
+#include "repeat/repeat_entry.h"
+#include "repeat_recorder.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+namespace
+{
+
+using namespace medlarmill;
+using namespace medlarmill::fake;
+
+struct EntryFixture
+{
+    EntryFixture()
+        : entry({"entry", "a", Incarnation{5}}, recorder, recorder, log)
+    { }
+
+    void addAgent(std::uint32_t cpu = 16'000)
+    {
+        repeat::AgentHello hello;
+        hello.set_incarnation(toWire(AGENT));
+        hello.set_name("agent");
+        hello.set_zone("a");
+        hello.set_evidence_ms(3'000);
+        entry.onAgentUp(hello, now);
+        report(cpu, 0);
+    }
+
+    void report(std::uint32_t freeCpu, std::uint64_t lastOrder)
+    {
+        repeat::Message message;
+        repeat::LoadReport *load = message.mutable_load_report();
+        load->set_stamp(toMillis(now.time_since_epoch()));
+        load->set_service("desk");
+        load->set_accepting(true);
+        load->set_cpu_total(16'000);
+        load->set_cpu_free(freeCpu);
+        load->set_mem_free(4'096);
+        load->set_slowdown_percent(100);
+        load->set_last_order(lastOrder);
+        entry.onAgentMessage(AGENT, message, now);
+    }
+
+    void end(std::uint64_t order, repeat::RunOutcome outcome, Reason reason = Reason::None, std::uint32_t floor = 0)
+    {
+        repeat::Message message;
+        repeat::RunReport *report = message.mutable_run_report();
+        report->set_order(order);
+        report->set_outcome(outcome);
+        report->set_reason(static_cast<std::uint32_t>(reason));
+        report->set_attempt_floor(floor);
+        entry.onAgentMessage(AGENT, message, now);
+        entry.pump(now);
+    }
+
+    void submit(std::uint64_t caller, const std::string &id, std::uint32_t count, std::uint32_t maxFailures = 2,
+                const std::string &kind = "check")
+    {
+        RepeatJob job;
+        job.id = id;
+        TaskGroup group;
+        group.count = count;
+        group.demand = {3'000, 64, 0};
+        group.declared = Millis(100);
+        job.groups = {group};
+        job.rule = {kind, "desk", 0, maxFailures, 1.6, Millis(60), Millis(0)};
+        job.patience = Millis(2'000);
+        entry.submit(CallerToken{caller}, job, now);
+        entry.pump(now);
+    }
+
+    EntryRecorder recorder;
+    LineLog log;
+    RepeatEntry entry;
+    Instant now = START;
+};
+
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "a job is complete when every task is, and its copy gets the same answer")
+{
+    addAgent();
+    submit(1, "j", 2);
+    REQUIRE(recorder.orders().size() == 2);
+    end(1, repeat::RUN_DONE);
+    CHECK(recorder.answers.empty());
+    end(2, repeat::RUN_DONE);
+    CHECK(recorder.answers.at(CallerToken{1}).result == JobResult::Complete);
+    submit(2, "j", 2);
+    CHECK(recorder.orders().size() == 2);
+    CHECK(recorder.answers.at(CallerToken{2}).result == JobResult::Complete);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "the last line about a job names its slowest agent and when to come back")
+{
+    addAgent();
+    submit(1, "j", 1);
+    end(1, repeat::RUN_DONE);
+    CHECK(log.lines.back().ends_with("slowest_agent=agent slowest_ms=0 retry_after_ms=0"));
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "waiting, running and answering are timed by request kind")
+{
+    addAgent();
+    submit(1, "j", 1);
+    now += Millis(120);
+    end(1, repeat::RUN_DONE);
+    const Histogram &answers = entry.histograms().all().find("answer_complete")->second.at("check");
+    CHECK(answers.count == 1);
+    CHECK(answers.buckets[7] == 1); // Above 100 ms, up to 200 ms.
+    CHECK(answers.sumMs == doctest::Approx(120));
+    CHECK(entry.histograms().all().find("wait")->second.at("check").buckets[0] == 1);
+    CHECK(entry.histograms().all().find("order")->second.at("check").count == 1);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "no order goes out where there is no room, and orders under way count")
+{
+    addAgent(7'000);
+    submit(1, "j", 3);
+    CHECK(recorder.orders().size() == 2);
+    report(7'000, 0); // Sent before the agent had the orders.
+    entry.pump(now);
+    CHECK(recorder.orders().size() == 2);
+    report(4'000, 2);
+    entry.pump(now);
+    CHECK(recorder.orders().size() == 3);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "a task fails its job after as many failures as the rule allows; other losses do not count")
+{
+    addAgent();
+    submit(1, "j", 1);
+    end(1, repeat::RUN_LOST, Reason::LeaseLapsed);
+    end(2, repeat::RUN_LOST, Reason::NoAnswer);
+    end(3, repeat::RUN_FAILED, Reason::TaskFailed);
+    CHECK(recorder.answers.empty());
+    CHECK(recorder.orders().back().attempt() == 4);
+    end(4, repeat::RUN_FAILED, Reason::TaskFailed);
+    CHECK(recorder.answers.at(CallerToken{1}).result == JobResult::Failed);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "an attempt that the endpoint calls old is ordered again with a higher one")
+{
+    addAgent();
+    submit(1, "j", 1);
+    end(1, repeat::RUN_NOT_STARTED, Reason::OldAttempt, 17);
+    CHECK(recorder.orders().back().attempt() == 18);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "a job that never started is refused as not run, with a time to come back")
+{
+    addAgent(0);
+    submit(1, "j", 1);
+    now += Millis(1'000);
+    report(0, 0);
+    entry.tick(now);
+    REQUIRE(recorder.answers.contains(CallerToken{1}));
+    CHECK(recorder.answers.at(CallerToken{1}).result == JobResult::NotRun);
+    CHECK(recorder.answers.at(CallerToken{1}).retryAfter >= Millis(100));
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "a job whose order is out is never called not run")
+{
+    addAgent();
+    submit(1, "j", 1);
+    now += Millis(2'100);
+    entry.tick(now);
+    CHECK(recorder.answers.at(CallerToken{1}).result == JobResult::Abandoned);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "an entry that reaches no agent passes jobs on at once")
+{
+    addAgent();
+    entry.onAgentDown(AGENT, now);
+    entry.tick(now);
+    submit(1, "early", 1);
+    CHECK(recorder.answers.empty());
+    now += Millis(450);
+    entry.tick(now);
+    CHECK(recorder.answers.at(CallerToken{1}).result == JobResult::Abandoned);
+    submit(2, "later", 1);
+    CHECK(recorder.answers.at(CallerToken{2}).result == JobResult::Abandoned);
+    CHECK_FALSE(entry.reachesAgents());
+    addAgent();
+    entry.tick(now);
+    submit(3, "back", 1);
+    CHECK_FALSE(recorder.answers.contains(CallerToken{3}));
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "a task of a lost agent is ordered again only after its lease is over for certain")
+{
+    addAgent();
+    submit(1, "j", 1);
+    entry.onAgentDown(AGENT, now);
+    now += Millis(1'000);
+    entry.tick(now);
+    CHECK(entry.placement().agents().size() == 1);
+    now += Millis(100);
+    entry.tick(now);
+    CHECK(entry.placement().agents().empty());
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "a caller that goes takes its job with it")
+{
+    addAgent();
+    submit(1, "j", 2);
+    entry.onCallerGone(CallerToken{1}, now);
+    CHECK(entry.open() == 0);
+    CHECK(recorder.sent.back().has_run_cancel());
+    CHECK(recorder.sent.back().run_cancel().orders_size() == 2);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "a job that would wait too long by what was ordered of late is refused at once")
+{
+    // Room for five tasks, of which one ends every 100 ms since other entries take the rest.
+    addAgent();
+    std::uint64_t caller = 0;
+    std::uint64_t ended = 0;
+    int refused = 0;
+    for (int step = 0; step < 40; ++step, now += Millis(10)) {
+        if (step % 2 == 0) {
+            ++caller;
+            submit(caller, "j" + std::to_string(caller), 1);
+            const auto answer = recorder.answers.find(CallerToken{caller});
+            if (answer != recorder.answers.end()) {
+                ++refused;
+                CHECK(answer->second.result == JobResult::NotRun);
+                CHECK(answer->second.reason == Reason::DeadlineUnreachable);
+                CHECK(answer->second.retryAfter >= Millis(100));
+                CHECK(answer->second.retryAfter <= Millis(5'000));
+            }
+        }
+        if (step % 10 == 9) {
+            end(++ended, repeat::RUN_DONE);
+            report(3'000, ended + 4);
+        } else {
+            report(0, recorder.orders().size());
+        }
+        entry.tick(now);
+    }
+    CHECK(refused >= 3);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "measurements of request kinds that are gone do not pile up")
+{
+    addAgent();
+    for (std::uint64_t job = 1; job <= 3'000; ++job) {
+        submit(job, fmt::format("j{}", job), 1, 2, fmt::format("kind{}", job));
+        end(job, repeat::RUN_DONE);
+        now += Millis(20);
+        report(16'000, job);
+        entry.tick(now);
+    }
+    CHECK(entry.open() == 0);
+    CHECK(entry.kindCount() <= 1'001);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "the pace of load reports falls with the number of agents")
+{
+    const auto interval = [this] {
+        return recorder.sent.back().entry_ping().report_interval_ms();
+    };
+    std::uint64_t incarnation = 100;
+    const auto addAgents = [&](int count) {
+        for (int agent = 0; agent < count; ++agent) {
+            repeat::AgentHello hello;
+            hello.set_incarnation(++incarnation);
+            entry.onAgentUp(hello, now);
+        }
+    };
+    addAgents(10);
+    CHECK(interval() == 10);
+    addAgents(90);
+    CHECK(interval() == 100);
+    addAgents(900);
+    CHECK(interval() == 500); // Agents that are silent for longer count as down.
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "a draining entry takes no job and sends callers elsewhere")
+{
+    addAgent();
+    entry.startDraining();
+    submit(1, "j", 1);
+    CHECK(entry.open() == 0);
+    CHECK(recorder.answers.at(CallerToken{1}).result == JobResult::Abandoned);
+}
--- /dev/null
+++ b/tests/repeat/repeat_recorder.h
@@ -0,0 +1,69 @@
+/** @file repeat_recorder.h Receivers of what an entry or an agent sends, answers and logs; for tests of single decisions. */
+
+#pragma once
+
+#include "core/time_type.h"
+#include "repeat/decision_log.h"
+#include "repeat/repeat_output.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace medlarmill::fake
+{
+
+inline constexpr Instant START{Millis(1'000'000)};
+inline constexpr Incarnation AGENT{77};
+
+/** Records what an entry sends and answers. */
+class EntryRecorder : public LinkOutput, public CallerOutput
+{
+public:
+    void sendTo(Incarnation /*peer*/, repeat::Message message) override
+    {
+        sent.push_back(std::move(message));
+    }
+    void resetLink(Incarnation peer) override
+    {
+        resets.push_back(peer);
+    }
+    void answer(CallerToken caller, const JobOutcome &outcome) override
+    {
+        answers[caller] = outcome;
+    }
+
+    std::vector<repeat::RunOrder> orders() const
+    {
+        std::vector<repeat::RunOrder> found;
+        for (const repeat::Message &message : sent) {
+            if (message.has_run_order()) {
+                found.push_back(message.run_order());
+            }
+        }
+        return found;
+    }
+
+    std::vector<repeat::Message> sent;
+    std::vector<Incarnation> resets;
+    std::map<CallerToken, JobOutcome> answers;
+};
+
+/** Keeps the lines. */
+class LineLog : public DecisionLog
+{
+public:
+    void note(std::string_view line) override
+    {
+        lines.emplace_back(line);
+    }
+    void warn(std::string_view line) override
+    {
+        lines.emplace_back(line);
+    }
+
+    std::vector<std::string> lines;
+};
+
+}
