Feature: Logs and counters that tell which configuration an entry had, and from where

Cause: the configuration incident has hypotheses that the logs could not tell apart. On the grown site entries drop lines above 400 a second, config_in_force among them: a lag of 4.46 s in the log of one entry was partly a dropped line. Change: lines about the state of a process have a limit of their own; counter entry_config_documents_total by source and result; config_version in job_accepted and job_refused.

--- a/src/daemon/bounded_log.cpp
+++ b/src/daemon/bounded_log.cpp
@@ -36,6 +36,13 @@
     }
 }
 
+void BoundedLog::state(std::string_view line)
+{
+    if (takeToken(states_)) {
+        append("info", line);
+    }
+}
+
 void BoundedLog::warn(std::string_view line)
 {
     if (takeToken(warnings_)) {
@@ -49,6 +56,7 @@
     if (second != second_) {
         second_ = second;
         notes_ = 0;
+        states_ = 0;
         warnings_ = 0;
         if (dropped_ != droppedTold_) {
             append("warning", fmt::format("event=log_lines_dropped count={} total={}", dropped_ - droppedTold_, dropped_));
--- a/src/daemon/bounded_log.h
+++ b/src/daemon/bounded_log.h
@@ -16,13 +16,15 @@
 class BoundedLog : public EventLog
 {
 public:
-    /** @param process name in each line. @param linesPerSecond most lines of decisions in a second; warnings have as many again. */
+    /** @param process name in each line. @param linesPerSecond most lines of decisions in a second; warnings have as many again,
+     * and so have lines about the state of the process. */
     BoundedLog(std::string process, std::uint32_t linesPerSecond);
     ~BoundedLog() override;
     BoundedLog(const BoundedLog &) = delete;
     BoundedLog &operator=(const BoundedLog &) = delete;
 
     void info(std::string_view line) override;
+    void state(std::string_view line) override;
     void warn(std::string_view line) override;
 
     /** Writes what was collected, as far as the reader takes it. */
@@ -42,6 +44,7 @@
     std::uint32_t linesPerSecond_;
     std::int64_t second_ = 0;
     std::uint32_t notes_ = 0;
+    std::uint32_t states_ = 0;
     std::uint32_t warnings_ = 0;
     std::uint64_t dropped_ = 0;
     std::uint64_t droppedTold_ = 0;
--- a/src/entry_daemon/repeatable_job_entry_process.cpp
+++ b/src/entry_daemon/repeatable_job_entry_process.cpp
@@ -173,11 +173,13 @@
 void RepeatableJobEntryProcess::onDocument(const std::string &text, std::string_view source)
 {
     const std::optional<std::uint64_t> version = callers_.applyConfig(text);
+    const std::string_view result = version.has_value() ? "newer" : "known";
+    counters_.add(fmt::format("entry_config_documents{{source=\"{}\",result=\"{}\"}}", source, result));
     if (!version.has_value()) {
         return;
     }
     document_ = text;
-    log_.info(fmt::format("event=config_in_force version={} source={} bytes={}", *version, source, text.size()));
+    log_.state(fmt::format("event=config_in_force version={} source={} bytes={}", *version, source, text.size()));
     for (const auto &[peer, address] : entryPeers_) {
         sendConfig(peer);
     }
@@ -333,6 +335,7 @@
 {
     std::string text;
     writeCounters(core_.counters(), text);
+    writeCounters(counters_, text);
     writeHistograms("entry_stage", core_.histograms(), text);
     writeGauge("entry_open_jobs", static_cast<double>(core_.openJobCount()), text);
     writeGauge("entry_config_version", static_cast<double>(callers_.configVersion()), text);
--- a/src/entry_daemon/repeatable_job_entry_process.h
+++ b/src/entry_daemon/repeatable_job_entry_process.h
@@ -118,6 +118,7 @@
     absl::btree_set<Incarnation> agentPeers_; ///< Agents with a link.
     absl::btree_map<std::string, Instant> knownEntries_; ///< Addresses, and when each was confirmed last.
     std::string document_; ///< Configuration in force.
+    Counters counters_;
     Instant nextPeerPing_;
     bool entryListChanged_ = false; ///< Agents have not been told of the newest entries.
     Instant nextEntryList_;
--- a/src/repeatable/repeatable_job_entry.cpp
+++ b/src/repeatable/repeatable_job_entry.cpp
@@ -157,8 +157,8 @@
 void RepeatableJobEntry::refuseJob(CallerToken caller, const RepeatableJob &job, Reason reason, Duration retryAfter)
 {
     counters_.add("entry_refused", reason);
-    log_.info(fmt::format("event=job_refused id={} kind={} reason={} retry_after_ms={} open={}", job.id, job.policy.kind,
-                          reasonInfo(reason).code, toMillis(retryAfter), jobs_.size()));
+    log_.info(fmt::format("event=job_refused id={} kind={} reason={} retry_after_ms={} open={} config_version={}", job.id, job.policy.kind,
+                          reasonInfo(reason).code, toMillis(retryAfter), jobs_.size(), job.policy.configVersion));
     callers_.answer(caller, {JobResult::NotRun, reason, retryAfter});
 }
 
@@ -222,9 +222,9 @@
     jobNumberByCaller_[caller] = number;
     ++kindStats_[job.submission.policy.kind].pendingJobs;
     counters_.add("entry_jobs");
-    log_.info(fmt::format("event=job_accepted id={} kind={} tasks={} chain_ms={} patience_ms={} waiting_jobs={}", job.submission.id,
-                          job.submission.policy.kind, job.tasks.size(), toMillis(criticalPath), toMillis(job.submission.callerTimeout),
-                          onTimeQueue_.size()));
+    log_.info(fmt::format("event=job_accepted id={} kind={} tasks={} chain_ms={} patience_ms={} waiting_jobs={} config_version={}",
+                          job.submission.id, job.submission.policy.kind, job.tasks.size(), toMillis(criticalPath),
+                          toMillis(job.submission.callerTimeout), onTimeQueue_.size(), job.submission.policy.configVersion));
     onTimeQueue_.insert(rankOf(number, job));
     jobs_.emplace(number, std::move(job));
 }
--- a/src/repeatable/repeatable_job_type.h
+++ b/src/repeatable/repeatable_job_type.h
@@ -76,6 +76,7 @@
     double slackFactor = 1; ///< The latency objective is the longest chain of dependent tasks times this, plus `targetLatency`.
     Duration targetLatency{0}; ///< See slackFactor.
     Duration timeout{0}; ///< Time limit for the answer; 0 for no limit.
+    std::uint64_t configVersion = 0; ///< Version of the configuration that the policy is from.
 };
 
 /** A repeatable job as a caller submitted it. */
