Fix: After a silent watch the configuration was read over another silent connection

Cause: the table client closes the connection whose answer did not come, but keeps those of its other channel, which are as old and went silent with it. The read after a watch without an answer went over one of them and timed out too: up to 3.7 s until a change is seen, where 2 s are allowed. It could also wait behind two calls of the entry directory.

--- a/src/http/channel.h
+++ b/src/http/channel.h
@@ -54,6 +54,9 @@
     /** Closes all connections; requests under way end as broken. */
     void close();
 
+    /** Closes the connections on which no request is under way; to be called when others to the same server have gone silent. */
+    void dropIdle();
+
     /** @return the server. */
     const boost::asio::ip::tcp::endpoint &server() const
     {
@@ -73,7 +76,6 @@
 
     void next();
     void onIdle();
-    void dropIdle();
 
     boost::asio::io_context &context_;
     boost::asio::ip::tcp::endpoint server_;
--- a/tests/platform_faults.py
+++ b/tests/platform_faults.py
@@ -120,6 +120,19 @@
     return good & check(versions == [60] * ENTRIES, f"an entry that the table turns away has the newest version: {versions}")
 
 
+def table_connections_silent(system):
+    """The connections to the table go silent for good, new ones work; a change is in force at every entry, read over new connections."""
+    system.table.silent_before = time.monotonic()
+    system.table.unheard.clear()
+    system.table.put("op", "config", json.dumps(config(70, ["check"])).encode())
+    time.sleep(3)
+    versions = [metric(number, "entry_config_version") for number in range(ENTRIES)]
+    again = [query["table"] for _, path, query in system.table.unheard if path.endswith("rows-get") and query["table"] == "op"]
+    system.table.silent_before = 0
+    good = check(versions == [70] * ENTRIES, f"silent connections: all entries have the newest version {versions}")
+    return good & check(not again, f"silent connections: {len(again)} reads of the configuration over a connection as old as the silent one")
+
+
 def planned_stop(system):
     """A stop with connections in use loses no answer, and the process ends by itself with code 0."""
     callers = Callers(system, 6)
@@ -150,7 +163,7 @@
     try:
         system.wait_ready()
         time.sleep(1)
-        for test in (quiet, bad_input, configuration_changes, configuration_series, entry_killed, entries_paused, agent_paused_and_killed, planned_stop,
+        for test in (quiet, bad_input, configuration_changes, configuration_series, table_connections_silent, entry_killed, entries_paused, agent_paused_and_killed, planned_stop,
                      all_killed_without_table):
             good = test(system)
             passed, failed = passed + bool(good), failed + (not good)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -10,6 +10,7 @@
 
 LONGEST_LEASE_MS = 1000
 STOP_S = 0.02
+SILENCE_S = 10
 
 
 class Oracle:
@@ -40,18 +41,30 @@
 class Server:
     """An HTTP server on a thread of its own; subclasses answer(method, path, query, body, headers)."""
 
+    silent_before = 0  # Connections opened before are silent for good; new ones work.
+
     def __init__(self, ip, port):
+        self.unheard = []  # Requests that arrived on silent connections.
         owner = self
 
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
             disable_nagle_algorithm = True
 
+            def setup(self):
+                super().setup()
+                self.opened = time.monotonic()
+
             def serve(self):
                 length = int(self.headers.get("Content-Length", 0))
                 body = self.rfile.read(length)
                 parts = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(parts.query, keep_blank_values=True))
+                if self.opened < owner.silent_before:
+                    owner.unheard.append((self.client_address[0], parts.path, query))
+                    time.sleep(SILENCE_S)
+                    self.close_connection = True
+                    return
                 status, answer = owner.answer_to(self.client_address[0], self.command, parts.path, query, body, self.headers)
                 if status is None:
                     self.close_connection = True
