Fix: The configuration was parsed again after each lost watch, and every version of a series

What callers saw: nothing by itself; the same class as the documents sent to all peers: work for documents that are already in force. Cause: the watcher passed on each row of an answer, also the same row read again after a failure, and all versions of a row of which only the newest counts. The answer of a cut list or feed moved the watch to the newest version of the service, past rows that were not in it.

--- a/src/table/config_watcher.cpp
+++ b/src/table/config_watcher.cpp
@@ -66,10 +66,18 @@
         failures_ = 0;
     }
     since_ = std::max(since_, rows.version);
+    const SharedRow *newest = nullptr;
     for (const SharedRow &row : rows.rows) {
-        if (row.key == place_.key && !row.removed) {
-            onDocument_(row.value);
+        if (row.key != place_.key || row.removed || row.version <= takenVersion_) {
+            continue;
         }
+        if (newest == nullptr || row.version > newest->version) {
+            newest = &row;
+        }
+    }
+    if (newest != nullptr) {
+        takenVersion_ = newest->version;
+        onDocument_(newest->value);
     }
 }
 
--- a/src/table/config_watcher.h
+++ b/src/table/config_watcher.h
@@ -16,7 +16,7 @@
 class ConfigWatcher
 {
 public:
-    using OnDocument = std::function<void(const std::string &)>; ///< Gets each document that was read; may get one twice.
+    using OnDocument = std::function<void(const std::string &)>; ///< Gets the newest document of each answer, once.
 
     /** Where the configuration lies. */
     struct Place
@@ -44,6 +44,7 @@
     OnDocument onDocument_;
     boost::asio::steady_timer timer_;
     std::uint64_t since_ = 0;
+    std::uint64_t takenVersion_ = 0; ///< Version of the row that was passed on last.
     int failures_ = 0;
 };
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -8,8 +8,10 @@
 #include "platform/notice_server.h"
 #include "platform/route_table.h"
 #include "platform/table_client.h"
+#include "table/config_watcher.h"
 #include "table/entry_directory.h"
 
+#include <deque>
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
@@ -28,6 +30,36 @@
 constexpr char NOTICE[] = R"({"service":"s","address":"10.1.0.9:80","zone":"a","version":"v1","slots":8,"state":"ready","cold_left_ms":0,)"
                           R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1"],"clock_ms":482113,"seq_no":4,"born":17})";
 
+/** A table whose answers a test gives. */
+class AnsweredTable : public SharedTable
+{
+public:
+    void list(const std::string & /*table*/, RowsDone done) override
+    {
+        reads.push_back(std::move(done));
+    }
+    void watch(const std::string & /*table*/, std::uint64_t since, Millis /*wait*/, RowsDone done) override
+    {
+        watchedSince = since;
+        reads.push_back(std::move(done));
+    }
+    void put(const std::string & /*table*/, const std::string & /*key*/, const std::string & /*value*/, Done /*done*/) override
+    { }
+    void remove(const std::string & /*table*/, const std::string & /*key*/, Done /*done*/) override
+    { }
+
+    /** Answers the oldest read. @param rows the answer. */
+    void answer(absl::StatusOr<SharedRows> rows)
+    {
+        const RowsDone done = std::move(reads.front());
+        reads.pop_front();
+        done(std::move(rows));
+    }
+
+    std::deque<RowsDone> reads; ///< Reads without an answer.
+    std::uint64_t watchedSince = 0;
+};
+
 std::string submissionOf(const std::string &groups, const std::string &more = R"(,"best_effort":true)")
 {
     return R"({"spec":"x","task_groups":)" + groups + more + "}";
@@ -239,3 +271,33 @@
         static_cast<void>(parseDeployment(text));
     });
 }
+
+TEST_CASE("a configuration row is passed on once, and only the newest of several")
+{
+    boost::asio::io_context context;
+    AnsweredTable table;
+    BoundedLog log("test", 0);
+    std::vector<std::string> documents;
+    ConfigWatcher watcher(context, table, {"op", "config"}, log, [&documents](const std::string &text) {
+        documents.push_back(text);
+    });
+    watcher.start();
+    const SharedRow first{"config", "one", 5, false};
+    table.answer(SharedRows{{first}, 7, 0});
+    table.answer(SharedRows{{{"config", "two", 8, false}, {"config", "three", 9, false}, {"other", "x", 10, false}}, 10, 0});
+    CHECK(documents == std::vector<std::string>{"one", "three"});
+    table.answer(absl::UnavailableError("silent"));
+    context.run_for(std::chrono::seconds(2));
+    REQUIRE(table.reads.size() == 1);
+    table.answer(SharedRows{{{"config", "three", 9, false}}, 12, 0});
+    CHECK(documents.size() == 2);
+    CHECK(table.watchedSince == 12);
+}
+
+TEST_CASE("a part of the rows is gone on from its newest row")
+{
+    const auto part = decodeRows(R"({"rows":[{"key":"a","value":"","row_version":4},{"key":"b","value":"","row_version":6}],)"
+                                 R"("has_more":true,"row_version":20})");
+    REQUIRE(part.ok());
+    CHECK(part->version == 6);
+}
