--- a/src/core/reason_table.cpp
+++ b/src/core/reason_table.cpp
@@ -59,6 +59,8 @@
     {Reason::Stalled, "stalled", "check the endpoint beside the agent"},
     {Reason::OldAttempt, "old_attempt", "none: the task is ordered again with a higher attempt"},
     {Reason::UnsupportedJob, "unsupported_job", "submit a repeatable job without the property that the log names"},
+    {Reason::EndpointCrashed, "endpoint_crashed", "check why the endpoint ended; suspect=1 marks the runs that it had started last"},
+    {Reason::CrashesEndpoints, "crashes_endpoints", "do not submit it again: correct the task, endpoints crash when they start it"},
 };
 
 }
--- a/src/core/reason_type.h
+++ b/src/core/reason_type.h
@@ -61,6 +61,8 @@
     Stalled = 97, ///< The run stood still and was stopped.
     OldAttempt = 98, ///< The endpoint has seen a higher attempt.
     UnsupportedJob = 99, ///< The job asks for a property that is not served.
+    EndpointCrashed = 100, ///< The endpoint ended without notice while it had the run.
+    CrashesEndpoints = 101, ///< Endpoints crashed under several runs of a task of the job.
 };
 
 }
--- a/src/repeatable/repeatable_job_agent.cpp
+++ b/src/repeatable/repeatable_job_agent.cpp
@@ -264,6 +264,7 @@
 void RepeatableJobAgent::start(const RunKey &key, Run &run, Instant now)
 {
     run.state = RunState::Starting;
+    run.startSentAt = std::min(run.startSentAt, now);
     EndpointCall call = makeCall(true, now);
     call.timeout = START_TIMEOUTS[run.startsSent++];
     run.startExpiry = leaseExpiry_;
@@ -335,7 +336,7 @@
         break;
     case EndpointCallStatus::OtherIncarnation:
     case EndpointCallStatus::ConnectionRefused:
-        finishAllAsLost(Reason::EndpointRestarted, now_);
+        finishAllAfterEnd(now_);
         break;
     case EndpointCallStatus::NoAnswer:
         counters_.add("agent_starts_unanswered");
@@ -419,7 +420,7 @@
         } else if (answer.status == EndpointCallStatus::Fenced) {
             fencingToken_ = std::max(fencingToken_ + 1, answer.clockMs);
         } else if (answer.status == EndpointCallStatus::OtherIncarnation || answer.status == EndpointCallStatus::ConnectionRefused) {
-            finishAllAsLost(Reason::EndpointRestarted, now_);
+            finishAllAfterEnd(now_);
         }
     });
 }
@@ -445,8 +446,10 @@
     report->set_attempt_floor(attemptFloor);
     const Duration ran = run.startedAt == NEVER ? Duration(0) : now - run.startedAt;
     report->set_run_ms(static_cast<std::uint32_t>(toMillis(ran)));
-    log_.info(fmt::format("event=run_over {} entry={:016x} outcome={} reason={} ran_ms={} expected_ms={}", formatRunName(run.name),
-                          toWire(key.first), outcomeName(outcome), reasonInfo(reason).code, toMillis(ran), toMillis(run.expected)));
+    report->set_crash_suspect(run.isCrashSuspect);
+    log_.info(fmt::format("event=run_over {} entry={:016x} outcome={} reason={} ran_ms={} expected_ms={} suspect={:d}",
+                          formatRunName(run.name), toWire(key.first), outcomeName(outcome), reasonInfo(reason).code, toMillis(ran),
+                          toMillis(run.expected), run.isCrashSuspect));
     counters_.add(outcome == repeat::RUN_DONE ? "agent_runs_done" : "agent_runs_not_done");
     if (run.startedAt != NEVER) {
         histograms_.add("run", ALL_KINDS, ran);
--- a/src/repeatable/repeatable_job_agent.h
+++ b/src/repeatable/repeatable_job_agent.h
@@ -13,6 +13,7 @@
 #include <absl/container/btree_set.h>
 #include <deque>
 #include <optional>
+#include <span>
 
 namespace medlarmill
 {
@@ -112,6 +113,8 @@
         Instant deadline; ///< When the run is stopped at the latest.
         Duration expected{0}; ///< Expected run time.
         Instant arrivedAt; ///< When the order arrived.
+        Instant startSentAt = NEVER; ///< When the first start call was sent.
+        bool isCrashSuspect = false; ///< The endpoint crashed soon after it was started.
         Instant startedAt = NEVER; ///< When the endpoint accepted or first listed the run.
         std::uint32_t progress = 0; ///< Percentage of the work done, as last listed.
         Instant progressAt; ///< When the progress last changed.
@@ -164,6 +167,8 @@
     void onFinishedRun(const RunKey &key, const FinishedRun &finished, Instant now);
     void finish(const RunKey &key, repeat::RunOutcome outcome, Reason reason, Instant now, std::uint32_t attemptFloor = 0);
     void finishAllAsLost(Reason reason, Instant now);
+    void finishAllAfterEnd(Instant now);
+    void markCrashSuspects(std::span<const RunKey> lost, Instant now);
     void stopExpiredRuns(Instant now);
     void reportLoad(Instant now);
     void markDirty();
@@ -202,6 +207,7 @@
     Instant leaseExpiry_; ///< No run can exist after this time unless the lease is extended again.
     Instant startsBlockedUntil_; ///< No start is sent before this time, because the endpoint refused one for lack of resources.
     EndpointHealth health_;
+    bool earlierDrained_ = false; ///< The earlier incarnation of the endpoint was draining, so its end was planned.
     bool draining_ = false;
     Instant now_; ///< Time of the event being handled; also set by callbacks of the endpoint.
     Counters counters_;
--- a/src/repeatable/repeatable_job_agent_endpoint.cpp
+++ b/src/repeatable/repeatable_job_agent_endpoint.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint32_t FULL_PROGRESS = 100; ///< Progress, in percent, of a run that has done all its work but has not finished yet.
 constexpr Duration STALL_MARGIN = Millis(120); ///< Added to the stall limit, since progress is listed only by polls, at least every 150 ms.
 constexpr Duration POLL_RETRY_PAUSE = Millis(50); ///< Pause before the next poll of an unresponsive endpoint.
+constexpr Duration SUSPECT_WINDOW
+    = Millis(50); ///< Runs started so long before the last start are suspects too: starts go on until a crash is noticed.
 constexpr Duration CLOCK_TOLERANCE = Millis(20); ///< Maximum error when mapping between the endpoint's clock and the agent's.
 
 }
@@ -46,11 +48,12 @@
         return false;
     }
     if (!same) {
+        earlierDrained_ = notice_.has_value() && (notice_->draining || notice_->terminated);
         if (notice_.has_value() && notice_->id == notice.id && !notice_->terminated) {
             // Starts in flight may have been carried out by the new incarnation; its next list shows which runs exist.
             log_.warn(fmt::format("event=endpoint_reborn endpoint={} born={} held={}", notice.id, notice.startUnixMs, runs_.size()));
         } else {
-            finishAllAsLost(Reason::EndpointRestarted, now);
+            finishAllAfterEnd(now);
             responsive_ = false;
             pollPending_ = false;
         }
@@ -155,7 +158,7 @@
         break;
     case EndpointCallStatus::ConnectionRefused:
     case EndpointCallStatus::OtherIncarnation:
-        finishAllAsLost(Reason::EndpointRestarted, now);
+        finishAllAfterEnd(now);
         nextPollAt_ = now + POLL_RETRY_PAUSE * 4;
         break;
     default:
@@ -197,6 +200,7 @@
     }
     if (result.startUnixMs > notice_->startUnixMs) {
         log_.warn(fmt::format("event=endpoint_reborn endpoint={} born={} held={}", notice_->id, result.startUnixMs, runs_.size()));
+        earlierDrained_ = notice_->draining;
         notice_->startUnixMs = result.startUnixMs;
         notice_->sequence = 0;
         beginIncarnation(result.startUnixMs, result.answer.clockMs);
@@ -306,12 +310,55 @@
             missing.push_back(key);
         }
     }
+    const Reason reason = earlierDrained_ ? Reason::EndpointRestarted : Reason::EndpointCrashed;
+    if (reason == Reason::EndpointCrashed) {
+        markCrashSuspects(missing, now);
+    }
     for (const RunKey &key : missing) {
         const Run &run = runs_.at(key);
         const bool ran = run.startedAt != NEVER;
-        finish(key, ran ? repeat::RUN_LOST : repeat::RUN_NOT_STARTED, run.reason == Reason::None ? Reason::EndpointRestarted : run.reason,
-               now);
+        finish(key, ran ? repeat::RUN_LOST : repeat::RUN_NOT_STARTED, run.reason == Reason::None ? reason : run.reason, now);
+    }
+}
+
+void RepeatableJobAgent::markCrashSuspects(std::span<const RunKey> lost, Instant now)
+{
+    Instant newestStart = Instant::min();
+    for (const RunKey &key : lost) {
+        const Run &run = runs_.at(key);
+        if (run.reason == Reason::None && run.startSentAt != NEVER) {
+            newestStart = std::max(newestStart, run.startSentAt);
+        }
+    }
+    std::size_t suspects = 0;
+    for (const RunKey &key : lost) {
+        Run &run = runs_.at(key);
+        if (run.reason != Reason::None || run.startSentAt == NEVER || run.startSentAt + SUSPECT_WINDOW < newestStart) {
+            continue;
+        }
+        run.isCrashSuspect = true;
+        ++suspects;
+    }
+    if (suspects == 0) {
+        return;
+    }
+    counters_.add("agent_endpoint_crashes");
+    log_.warn(fmt::format("event=endpoint_crashed endpoint={} runs={} suspects={} newest_start_ms={}", notice_->id, lost.size(), suspects,
+                          toMillis(now - newestStart)));
+}
+
+void RepeatableJobAgent::finishAllAfterEnd(Instant now)
+{
+    if (notice_.has_value() && (notice_->draining || notice_->terminated)) {
+        finishAllAsLost(Reason::EndpointRestarted, now);
+        return;
+    }
+    std::vector<RunKey> lost;
+    for (const auto &[key, run] : runs_) {
+        lost.push_back(key);
     }
+    markCrashSuspects(lost, now);
+    finishAllAsLost(Reason::EndpointCrashed, now);
 }
 
 void RepeatableJobAgent::finishAllAsLost(Reason reason, Instant now)
