Fix: A task that crashes endpoints was started without limit

Cause: a run that was lost with its endpoint counted as nobody's fault, so its task was ordered again at once, anywhere, without limit. Class: a retry without a budget. Change: agents name the runs that an endpoint had started last when it crashed. CrashRecords counts such crashes for each task: after one the task runs on probation, at the endpoint with the least running, where nothing else starts for 100 ms, so that the next crash tells its cause; after two its job is answered as failed. A task under three crashes is given up in any case. A start that the dead endpoint refused counts as not started.

--- a/src/repeatable/placement.cpp
+++ b/src/repeatable/placement.cpp
@@ -15,6 +15,7 @@
 constexpr double LOAD_COST_MS = 12; ///< Cost of a fully loaded endpoint: orders of other entries may take its last capacity first.
 constexpr double LOAD_COST_EXPONENT = 4; ///< Exponent with which that cost rises with the load.
 constexpr double NON_PREFERRED_RUN_TIME_FACTOR = 1.5; ///< Ratio of run time without the preferred label to run time with it.
+constexpr double SUSPECT_LOAD_COST_MS = 500; ///< Cost of a fully loaded endpoint for a task that may crash it: what runs there is lost.
 constexpr double AVOIDED_AGENT_COST_MS = 1'000; ///< Cost of the agent where the previous run failed, was lost or was refused.
 
 }
@@ -53,7 +54,8 @@
         runMs *= NON_PREFERRED_RUN_TIME_FACTOR;
     }
     const double used = agent.capacity.cpu == 0 ? 1 : 1 - std::min(1.0, static_cast<double>(agent.freeCapacity().cpu) / agent.capacity.cpu);
-    return runMs + (agent.zone == zone_ ? 0 : CROSS_ZONE_COST_MS) + LOAD_COST_MS * std::pow(used, LOAD_COST_EXPONENT);
+    const double loadCost = request.isCrashSuspect ? SUSPECT_LOAD_COST_MS * used : LOAD_COST_MS * std::pow(used, LOAD_COST_EXPONENT);
+    return runMs + (agent.zone == zone_ ? 0 : CROSS_ZONE_COST_MS) + loadCost;
 }
 
 PlacementChoice Placement::chooseAgent(const PlacementRequest &request) const
--- a/src/repeatable/placement.h
+++ b/src/repeatable/placement.h
@@ -43,6 +43,7 @@
     const TaskGroup *group = nullptr; ///< Group of the task; holds demand, labels and limits.
     std::string_view service; ///< Service that the endpoint must belong to.
     bool leavesReserve = false; ///< The endpoint must have free capacity for a second such task.
+    bool isCrashSuspect = false; ///< The endpoint may crash: the one with the least running is chosen.
     Duration expectedRunTime{0}; ///< Expected run time of the task.
     Incarnation avoidedAgent = INVALID_INCARNATION; ///< Agent that is chosen only when the others cost much more or have no free capacity.
     const absl::btree_map<Incarnation, std::uint32_t> *groupTasksByAgent = nullptr; ///< Tasks of the group; may be null.
--- a/src/repeatable/repeatable_job_agent.cpp
+++ b/src/repeatable/repeatable_job_agent.cpp
@@ -20,6 +20,7 @@
 constexpr Duration STOP_TIMEOUT = Millis(80); ///< Timeout of a stop call; a stop that was not accepted is then sent again.
 constexpr std::size_t QUEUE_LIMIT = 6; ///< Orders that may wait for free resources; allows for concurrent orders of several entries.
 constexpr Duration NO_ROOM_PAUSE = Millis(10); ///< Pause before the next start after the endpoint refused one for lack of resources.
+constexpr Duration PROBATION = Millis(100); ///< Time without other starts after the start of a task that may crash the endpoint.
 constexpr Duration REPORT_RETENTION = Millis(3'000); ///< How long final reports are kept, to be sent again to an entry that reconnects.
 constexpr std::size_t MAX_RECENT_REPORTS = 2'000; ///< Maximum number of final reports kept.
 constexpr std::uint32_t ATTEMPT_STEP = 16; ///< Added to an attempt refused as old; the entry's next attempt must be above the sum.
@@ -149,7 +150,8 @@
 
 bool RepeatableJobAgent::isAccepting(Instant now) const
 {
-    return notice_.has_value() && !notice_->draining && !notice_->terminated && !draining_ && responsive_ && !health_.isCircuitOpen(now);
+    return notice_.has_value() && !notice_->draining && !notice_->terminated && !draining_ && responsive_ && !health_.isCircuitOpen(now)
+        && now >= probationUntil_;
 }
 
 Resources RepeatableJobAgent::freeResources() const
@@ -212,6 +214,7 @@
     run.name = {order.submission(), order.group(), order.index(), order.attempt()};
     run.spec = order.spec();
     run.demand = {order.cpu(), order.mem(), order.gpu()};
+    run.isProbation = order.crash_suspect();
     run.rank = now + Millis(order.rank_ms());
     run.deadline = now + Millis(order.time_left_ms());
     run.expected = Millis(order.expected_ms());
@@ -231,7 +234,7 @@
         return;
     }
     auto next = queue_.begin();
-    while (next != queue_.end()) {
+    while (next != queue_.end() && now >= probationUntil_) {
         const RunKey key = next->second;
         Run &run = runs_.at(key);
         Resources available = notice_->capacity;
@@ -265,6 +268,9 @@
 {
     run.state = RunState::Starting;
     run.startSentAt = std::min(run.startSentAt, now);
+    if (run.isProbation) {
+        probationUntil_ = now + PROBATION;
+    }
     EndpointCall call = makeCall(true, now);
     call.timeout = START_TIMEOUTS[run.startsSent++];
     run.startExpiry = leaseExpiry_;
@@ -336,6 +342,9 @@
         break;
     case EndpointCallStatus::OtherIncarnation:
     case EndpointCallStatus::ConnectionRefused:
+        if (run.startsSent == 1) {
+            finish(key, repeat::RUN_NOT_STARTED, Reason::EndpointAbsent, now_);
+        }
         finishAllAfterEnd(now_);
         break;
     case EndpointCallStatus::NoAnswer:
--- a/src/repeatable/repeatable_job_agent.h
+++ b/src/repeatable/repeatable_job_agent.h
@@ -114,6 +114,7 @@
         Duration expected{0}; ///< Expected run time.
         Instant arrivedAt; ///< When the order arrived.
         Instant startSentAt = NEVER; ///< When the first start call was sent.
+        bool isProbation = false; ///< An endpoint crashed soon after it started this task: nothing else is started for a moment.
         bool isCrashSuspect = false; ///< The endpoint crashed soon after it was started.
         Instant startedAt = NEVER; ///< When the endpoint accepted or first listed the run.
         std::uint32_t progress = 0; ///< Percentage of the work done, as last listed.
@@ -205,6 +206,7 @@
     bool responsive_ = false; ///< The endpoint answers polls.
     Instant nextPollAt_;
     Instant leaseExpiry_; ///< No run can exist after this time unless the lease is extended again.
+    Instant probationUntil_; ///< No other run is started before, so that a crash tells its cause.
     Instant startsBlockedUntil_; ///< No start is sent before this time, because the endpoint refused one for lack of resources.
     EndpointHealth health_;
     bool earlierDrained_ = false; ///< The earlier incarnation of the endpoint was draining, so its end was planned.
--- a/src/repeatable/repeatable_job_agent_endpoint.cpp
+++ b/src/repeatable/repeatable_job_agent_endpoint.cpp
@@ -22,7 +22,7 @@
 constexpr Duration STALL_MARGIN = Millis(120); ///< Added to the stall limit, since progress is listed only by polls, at least every 150 ms.
 constexpr Duration POLL_RETRY_PAUSE = Millis(50); ///< Pause before the next poll of an unresponsive endpoint.
 constexpr Duration SUSPECT_WINDOW
-    = Millis(50); ///< Runs started so long before the last start are suspects too: starts go on until a crash is noticed.
+    = Millis(50); ///< Runs started at most so long before the last one that the endpoint accepted are suspects of its crash.
 constexpr Duration CLOCK_TOLERANCE = Millis(20); ///< Maximum error when mapping between the endpoint's clock and the agent's.
 
 }
@@ -80,6 +80,7 @@
     ++endpointIncarnation_;
     newestStartUnixMs_ = startUnixMs;
     health_.reset();
+    probationUntil_ = Instant();
     acknowledgedSequence_ = 0;
     endpointClockMs_ = 0;
     // With a higher token, the endpoint refuses delayed calls that were sent to an earlier incarnation.
@@ -326,7 +327,7 @@
     Instant newestStart = Instant::min();
     for (const RunKey &key : lost) {
         const Run &run = runs_.at(key);
-        if (run.reason == Reason::None && run.startSentAt != NEVER) {
+        if (run.reason == Reason::None && run.startedAt != NEVER) {
             newestStart = std::max(newestStart, run.startSentAt);
         }
     }
--- a/src/repeatable/repeatable_job_entry.cpp
+++ b/src/repeatable/repeatable_job_entry.cpp
@@ -24,6 +24,8 @@
 constexpr Duration ISOLATION_TIMEOUT = Millis(400); ///< After so long without a link to any agent, callers are sent to other entries.
 constexpr Duration MIN_RETRY_AFTER = Millis(100); ///< Minimum retry time sent to a refused caller.
 constexpr Duration MAX_RETRY_AFTER = Millis(5'000); ///< Maximum of the same; lost endpoints are replaced within seconds.
+constexpr std::uint32_t MAX_ENDPOINT_CRASHES
+    = 3; ///< A task is given up after so many crashes, even when it was never among the last started.
 constexpr Duration JOB_CHECK_INTERVAL = Millis(10); ///< Time between checks of the deadlines of jobs.
 
 std::size_t taskCount(const RepeatableJob &job)
@@ -179,6 +181,13 @@
         callers_.answer(caller, {answered->second, Reason::None, Duration(0)});
         return;
     }
+    if (crashRecords_.isGivenUp(submission.id)) {
+        counters_.add("entry_crashing_jobs_refused");
+        log_.warn(fmt::format("event=job_given_up id={} kind={} reason={}", submission.id, submission.policy.kind,
+                              reasonInfo(Reason::CrashesEndpoints).code));
+        callers_.answer(caller, {JobResult::Failed, Reason::CrashesEndpoints, Duration(0)});
+        return;
+    }
     if (draining_ || isIsolated(now)) {
         // Another entry may be able to serve the job; this answer makes the caller try there.
         const Reason reason = draining_ ? Reason::Draining : Reason::EndpointAbsent;
@@ -349,6 +358,7 @@
         request.service = job.submission.policy.service;
         request.expectedRunTime = expectedRunTime(job.submission, *request.group);
         request.avoidedAgent = task.avoidedAgent;
+        request.isCrashSuspect = crashRecords_.isSuspect(job.submission.id, task.group, task.index);
         request.leavesReserve = job.latestStart < now && !job.anyTaskOrdered;
         request.groupTasksByAgent = &job.groupTasksByAgent[task.group];
         const PlacementChoice choice = placement_.chooseAgent(request);
@@ -402,6 +412,7 @@
     order->set_expected_ms(static_cast<std::uint32_t>(toMillis(expectedRunTime(job.submission, group))));
     order->set_stamp(status.newestStamp);
     order->set_refuse_when_full(choice.hasAlternative);
+    order->set_crash_suspect(crashRecords_.isSuspect(job.submission.id, task.group, task.index));
     counters_.add("entry_orders");
     links_.sendTo(agent, std::move(message));
 }
@@ -495,6 +506,7 @@
         recentResults_.erase(recentResultTimes_.front().second);
         recentResultTimes_.pop_front();
     }
+    crashRecords_.forgetOld(now);
     if (kindStats_.size() > MAX_MEASURED_NAMES) {
         std::erase_if(kindStats_, [](const auto &kind) {
             return kind.second.pendingJobs == 0;
@@ -535,11 +547,33 @@
     begunQueue_.insert(rankOf(number, job));
 }
 
+bool RepeatableJobEntry::giveUpAfterCrash(JobNumber number, Job &job, RepeatableJobTask &task, const repeat::RunReport &report, Instant now)
+{
+    if (report.outcome() == repeat::RUN_NOT_STARTED) {
+        return false;
+    }
+    ++task.crashes;
+    const SubmissionId id = job.submission.id;
+    if (report.crash_suspect()) {
+        crashRecords_.add({{id, task.group, task.index, task.attempt}, task.agent}, now);
+    }
+    log_.warn(fmt::format("event=task_under_crash id={} kind={} group={} index={} attempt={} crashes={} suspect={:d}", id,
+                          job.submission.policy.kind, task.group, task.index, task.attempt, task.crashes, report.crash_suspect()));
+    if (!crashRecords_.isGivenUp(id) && task.crashes < MAX_ENDPOINT_CRASHES) {
+        return false;
+    }
+    finishJob(number, JobResult::Failed, Reason::CrashesEndpoints, now);
+    return true;
+}
+
 void RepeatableJobEntry::retryTaskOrFailJob(JobNumber number, Job &job, RepeatableJobTask &task, const repeat::RunReport &report,
                                             Instant now)
 {
     const auto reason = static_cast<Reason>(report.reason());
     counters_.add("entry_task_retries", reason);
+    if (reason == Reason::EndpointCrashed && giveUpAfterCrash(number, job, task, report, now)) {
+        return;
+    }
     if (report.outcome() == repeat::RUN_FAILED && ++task.failures >= job.submission.policy.maxFailures) {
         finishJob(number, JobResult::Failed, Reason::TaskFailed, now);
         return;
--- a/src/repeatable/repeatable_job_entry.h
+++ b/src/repeatable/repeatable_job_entry.h
@@ -6,6 +6,7 @@
 #include "core/histograms.h"
 #include "core/name_map_type.h"
 #include "repeatable/admission.h"
+#include "repeatable/crash_records.h"
 #include "repeatable/event_log.h"
 #include "repeatable/placement.h"
 #include "repeatable/repeatable_job_output.h"
@@ -135,6 +136,7 @@
         TaskState state = TaskState::Blocked; ///< State of the task.
         std::uint32_t attempt = 0; ///< Attempt number of the newest order.
         std::uint32_t failures = 0; ///< Number of runs that failed.
+        std::uint32_t crashes = 0; ///< Number of runs whose endpoint crashed.
         Incarnation avoidedAgent = INVALID_INCARNATION; ///< Agent of the newest run that failed, was lost or was refused by the endpoint.
         OrderId orderId = INVALID_ORDER_ID; ///< Newest order.
         Incarnation agent = INVALID_INCARNATION; ///< Agent of the newest order.
@@ -193,6 +195,7 @@
     void onRunReport(Incarnation agent, const repeat::RunReport &report, Instant now);
     void onTaskCompleted(JobNumber number, Job &job, RepeatableJobTask &task, Instant now);
     void retryTaskOrFailJob(JobNumber number, Job &job, RepeatableJobTask &task, const repeat::RunReport &report, Instant now);
+    bool giveUpAfterCrash(JobNumber number, Job &job, RepeatableJobTask &task, const repeat::RunReport &report, Instant now);
     void requeueTask(JobNumber number, Job &job, RepeatableJobTask &task);
     void onAgentLost(Incarnation agent, Instant now);
     void finishJob(JobNumber number, JobResult result, Reason reason, Instant now, Duration retryAfter = Duration(0));
@@ -215,6 +218,7 @@
     absl::btree_set<JobRank> onTimeQueue_; ///< Other jobs that can still meet their objective.
     absl::btree_set<JobRank> lateQueue_; ///< Other jobs that can no longer meet it; they leave a reserve of capacity.
     SlackShare slackShare_;
+    CrashRecords crashRecords_;
     absl::flat_hash_map<OrderId, OrderRef> orders_; ///< Orders for which no final report has arrived.
     absl::flat_hash_map<SubmissionId, JobResult> recentResults_; ///< Results of recently ended jobs, repeated to duplicates of the request.
     std::deque<std::pair<Instant, SubmissionId>> recentResultTimes_; ///< When each result in `recentResults_` was stored; oldest first.
--- a/tests/repeatable/fake_endpoint.cpp
+++ b/tests/repeatable/fake_endpoint.cpp
@@ -36,6 +36,11 @@
                      now);
     }
     task.runningOn.insert(endpoint);
+    if (task.crashes >= 3 && ++task.startsAfterThreeCrashes >= 3) {
+        addViolation(fmt::format("task {}.{}.{} started three times more after it had crashed three endpoints", run.submission, run.group,
+                                 run.index),
+                     now);
+    }
     JobRecord &job = jobs_[run.submission];
     job.started = true;
     job.lastStart = now;
@@ -54,6 +59,12 @@
     }
 }
 
+void Oracle::onCrash(const RunName &culprit)
+{
+    ++crashes;
+    mostCrashes = std::max(mostCrashes, ++tasks_[taskKeyOf(culprit)].crashes);
+}
+
 void Oracle::onSubmit(const std::string &id, Instant /*now*/)
 {
     JobRecord &job = jobs_[id];
@@ -68,6 +79,7 @@
     record.allNotRun = record.allNotRun && result == JobResult::NotRun;
     notRun += result == JobResult::NotRun ? 1 : 0;
     abandoned += result == JobResult::Abandoned ? 1 : 0;
+    failed += result == JobResult::Failed ? 1 : 0;
     if (result == JobResult::NotRun && record.lastStart > submittedAt) {
         addViolation(fmt::format("job {} was answered as not run, but a task started after its submission", id), now);
     }
--- a/tests/repeatable/fake_endpoint.h
+++ b/tests/repeatable/fake_endpoint.h
@@ -23,6 +23,7 @@
     void onEnd(int endpoint, const RunName &run, bool done, Instant now);
     void onSubmit(const std::string &id, Instant now);
     void onAnswer(const std::string &id, const RepeatableJob &job, JobResult result, Instant submittedAt, Instant now);
+    void onCrash(const RunName &culprit);
     void onConnectionClosed(const std::string &id);
     void onOverCapacity(int endpoint, Instant now);
 
@@ -34,12 +35,17 @@
     std::size_t complete = 0; ///< Submissions answered as complete.
     std::size_t notRun = 0; ///< Submissions answered as not run.
     std::size_t abandoned = 0; ///< Submissions answered as abandoned.
+    std::size_t failed = 0; ///< Submissions answered as failed.
+    std::size_t crashes = 0; ///< Endpoints that a task crashed.
+    int mostCrashes = 0; ///< Most endpoints that one task crashed.
 
 private:
     struct Task
     {
         std::set<int> runningOn; ///< Endpoints that run the task now.
         Instant lastCompletion; ///< End of the latest run that completed.
+        int crashes = 0; ///< Endpoints that it crashed.
+        int startsAfterThreeCrashes = 0;
     };
 
     struct JobRecord
@@ -81,6 +87,10 @@
 
     /** @return the announcement that the endpoint sends at this time. */
     EndpointNotice notice(Instant now);
+    bool isRunning(const RunName &run) const
+    {
+        return runs_.contains(run);
+    }
     bool hasUnacknowledgedRuns() const
     {
         return !unacknowledgedRuns_.empty();
--- a/tests/repeatable/repeatable_job_fuzz_test.cpp
+++ b/tests/repeatable/repeatable_job_fuzz_test.cpp
@@ -137,6 +137,20 @@
     CHECK(world.oracle().abandoned < world.oracle().complete);
 }
 
+TEST_CASE("a task that crashes the endpoints that start it is given up after two crashes")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        RepeatableJobWorld world(seed, 3, 11);
+        world.crashingJobsIn100 = 3;
+        world.trace = std::getenv("TRACE") != nullptr;
+        world.run({}, LOAD_MS, 20);
+        CHECK(world.oracle().violations.empty());
+        CHECK(world.oracle().crashes > 0);
+        CHECK(world.oracle().mostCrashes <= 2);
+        CHECK(world.recovered());
+    }
+}
+
 TEST_CASE("random faults never violate an invariant")
 {
     rc::check("endpoints that enforce their capacity", [] {
--- a/tests/repeatable/repeatable_job_world.cpp
+++ b/tests/repeatable/repeatable_job_world.cpp
@@ -293,6 +293,9 @@
 {
     const std::string id = "job" + std::to_string(nextJob_++);
     jobs_[id] = makeJob(id);
+    if (crashingJobsIn100 > 0 && static_cast<int>(random_() % 100) < crashingJobsIn100) {
+        crashingJobs_.insert(id);
+    }
     submit(id, 1);
 }
 
--- a/tests/repeatable/repeatable_job_world.h
+++ b/tests/repeatable/repeatable_job_world.h
@@ -83,6 +83,7 @@
     bool endpointsEnforceCapacity = true; ///< Whether endpoints refuse starts that do not fit.
     bool endpointsCheckFencing = true; ///< Whether endpoints refuse calls with an older fencing token.
     std::optional<double> endpointClockRate; ///< Speed of the endpoints' clocks; by default up to 2% slow, by the seed.
+    int crashingJobsIn100 = 0; ///< How many of 100 jobs have a task that crashes each endpoint that starts it.
     bool trace = false; ///< Prints the decision logs.
     RepeatableJobEntrySettings entrySettings; ///< Settings of all entries; name, zone and incarnation are set by the simulation.
     RepeatableJobAgentSettings agentSettings; ///< Settings of all agents; name, zone and incarnation are set by the simulation.
@@ -133,6 +134,8 @@
     void beginFault(const FaultEvent &event);
     void endFault(const FaultEvent &event);
     RepeatableJob makeJob(const std::string &id);
+    bool crashesEndpoint(const RunName &run) const;
+    void crashSoon(int agent, const RunName &run);
     bool isFrozen(Instant until) const
     {
         return now_ < until;
@@ -148,6 +151,7 @@
     std::vector<std::vector<Link>> links_; ///< Indexed by agent, then by entry.
     std::map<std::uint64_t, Submission> submissions_;
     std::map<std::string, RepeatableJob> jobs_;
+    std::set<std::string> crashingJobs_; ///< Jobs whose first task crashes each endpoint that starts it.
     std::uint64_t nextToken_ = 1;
     std::uint64_t nextIncarnation_ = 1;
     std::uint64_t nextJob_ = 1;
--- a/tests/repeatable/repeatable_job_world_faults.cpp
+++ b/tests/repeatable/repeatable_job_world_faults.cpp
@@ -7,6 +7,14 @@
 namespace medlarmill::fake
 {
 
+namespace
+{
+
+constexpr Duration CRASH_DELAY = Millis(10); ///< From the start of a crashing task to the crash.
+constexpr Duration CRASH_TIME = Millis(3'000); ///< From a crash to the return of the endpoint.
+
+}
+
 void RepeatableJobWorld::beginFault(const FaultEvent &event)
 {
     const int entry = event.target % static_cast<int>(entries_.size());
@@ -107,6 +115,28 @@
     }
 }
 
+bool RepeatableJobWorld::crashesEndpoint(const RunName &run) const
+{
+    return run.group == 0 && run.index == 0 && crashingJobs_.contains(run.submission);
+}
+
+void RepeatableJobWorld::crashSoon(int agent, const RunName &run)
+{
+    schedule(CRASH_DELAY, [this, agent, run] {
+        FakeEndpoint &endpoint = agents_[agent]->endpoint;
+        if (!endpoint.up || !endpoint.isRunning(run)) {
+            return;
+        }
+        oracle_.onCrash(run);
+        endpoint.keepsId = false;
+        endpoint.crash(now_);
+        endpoint.up = false;
+        schedule(CRASH_TIME, [&endpoint] {
+            endpoint.up = true;
+        });
+    });
+}
+
 void RepeatableJobWorld::endFault(const FaultEvent &event)
 {
     const int agent = event.target % static_cast<int>(agents_.size());
--- a/tests/repeatable/repeatable_job_world_nodes.h
+++ b/tests/repeatable/repeatable_job_world_nodes.h
@@ -201,7 +201,12 @@
         callEndpoint(
             call,
             [this, call, run, group, percent, fails] {
-                return endpoint.start(call, run, group.declaredRunTime * percent / 100, fails, group.demand, world.now_);
+                const EndpointAnswer answer
+                    = endpoint.start(call, run, group.declaredRunTime * percent / 100, fails, group.demand, world.now_);
+                if (answer.status == EndpointCallStatus::Accepted && world.crashesEndpoint(run)) {
+                    world.crashSoon(number, run);
+                }
+                return answer;
             },
             std::move(done));
     }
