Fix: The count of a task's crashes was lost with the entry that kept it

Cause: crashes were counted at the entry that ordered the runs; a resubmission through another entry began at zero. A run whose entry was gone, so that it was about to be stopped, did not count at all. Class: evidence kept only by the process whose loss makes it needed. Change: an agent tells all its entries which runs its endpoint had when it crashed, two of them pass it on to all others, and an entry hands its records to each entry that links up. All crashes are counted, also those under runs that had lasted: five give a task up.

--- a/src/entry_daemon/repeatable_job_entry_process.cpp
+++ b/src/entry_daemon/repeatable_job_entry_process.cpp
@@ -140,6 +140,9 @@
         hub_.sendTo(peer, makeHello());
     }
     learnAddresses({hello.entry_hello().address()});
+    repeat::Message crashes;
+    *crashes.mutable_crash_notice() = core_.crashNotice();
+    hub_.sendTo(peer, std::move(crashes));
     if (!hello.entry_hello().asks_for_config()) {
         configReceivers_.insert(peer);
         sendConfig(peer);
@@ -169,11 +172,27 @@
         configExchange_.onPeerVersion(peer, message.entry_ping().config_version(), ProcessClock::now());
     } else if (message.has_entry_list()) {
         learnAddresses({message.entry_list().addresses().begin(), message.entry_list().addresses().end()});
+    } else if (message.has_crash_notice()) {
+        onCrashNotice(message.crash_notice());
     } else if (agentPeers_.contains(peer)) {
         core_.onAgentMessage(peer, message, ProcessClock::now());
     }
 }
 
+void RepeatableJobEntryProcess::onCrashNotice(const repeat::CrashNotice &notice)
+{
+    core_.onCrashNotice(notice, ProcessClock::now());
+    if (!notice.forward()) {
+        return;
+    }
+    repeat::Message message;
+    *message.mutable_crash_notice() = notice;
+    message.mutable_crash_notice()->set_forward(false);
+    for (const auto &[peer, address] : entryPeers_) {
+        hub_.sendTo(peer, message);
+    }
+}
+
 void RepeatableJobEntryProcess::onFrameEnd()
 {
     pumpSoon();
--- a/src/entry_daemon/repeatable_job_entry_process.h
+++ b/src/entry_daemon/repeatable_job_entry_process.h
@@ -99,6 +99,7 @@
     void sendConfig(Incarnation peer);
     void announceTo(Incarnation peer);
     void askForConfig(Instant now);
+    void onCrashNotice(const repeat::CrashNotice &notice);
     void learnAddresses(const std::vector<std::string> &addresses);
     void dialEntries();
     void pingPeers(Instant now);
--- a/src/repeatable/crash_records.cpp
+++ b/src/repeatable/crash_records.cpp
@@ -10,15 +10,21 @@
 namespace
 {
 
-constexpr std::size_t MAX_CRASHES_OF_TASK = 2; ///< Crashes under one task after which it is given up.
+constexpr std::ptrdiff_t MAX_SUSPECTED_CRASHES = 2; ///< Crashes soon after the start of a task after which it is given up.
+constexpr std::ptrdiff_t MAX_CRASHES = 5; ///< Crashes of any kind after which it is given up: two starts after the third crash.
 constexpr Duration RECORD_RETENTION = Millis(60'000); ///< How long a crash is remembered; callers submit again within seconds.
-constexpr std::size_t MAX_RECORDS = 2'000; ///< Maximum number of crashes remembered.
+constexpr std::size_t MAX_RECORDS = 5'000; ///< Maximum number of crashes remembered.
+
+bool isOfTask(const TaskCrash &crash, std::uint32_t group, std::uint32_t index)
+{
+    return crash.run.group == group && crash.run.index == index;
+}
 
 }
 
-bool CrashRecords::add(const SuspectedCrash &crash, Instant now)
+bool CrashRecords::add(const TaskCrash &crash, Instant now)
 {
-    std::vector<SuspectedCrash> &crashes = bySubmission_[crash.run.submission];
+    std::vector<TaskCrash> &crashes = bySubmission_[crash.run.submission];
     if (std::ranges::find(crashes, crash) != crashes.end()) {
         return false;
     }
@@ -28,25 +34,30 @@
     return true;
 }
 
-std::size_t CrashRecords::crashCount(std::span<const SuspectedCrash> crashes, std::uint32_t group, std::uint32_t index) const
-{
-    return static_cast<std::size_t>(std::ranges::count_if(crashes, [group, index](const SuspectedCrash &crash) {
-        return crash.run.group == group && crash.run.index == index;
-    }));
-}
-
 bool CrashRecords::isSuspect(const SubmissionId &submission, std::uint32_t group, std::uint32_t index) const
 {
     const auto found = bySubmission_.find(submission);
-    return found != bySubmission_.end() && crashCount(found->second, group, index) > 0;
+    return found != bySubmission_.end() && std::ranges::any_of(found->second, [group, index](const TaskCrash &crash) {
+               return crash.isSuspect && isOfTask(crash, group, index);
+           });
 }
 
 bool CrashRecords::isGivenUp(const SubmissionId &submission) const
 {
     const auto found = bySubmission_.find(submission);
-    return found != bySubmission_.end() && std::ranges::any_of(found->second, [&](const SuspectedCrash &crash) {
-               return crashCount(found->second, crash.run.group, crash.run.index) >= MAX_CRASHES_OF_TASK;
-           });
+    if (found == bySubmission_.end()) {
+        return false;
+    }
+    const std::vector<TaskCrash> &crashes = found->second;
+    return std::ranges::any_of(crashes, [&crashes](const TaskCrash &crash) {
+        const auto ofTask = [&crash](const TaskCrash &other) {
+            return isOfTask(other, crash.run.group, crash.run.index);
+        };
+        const auto suspected = std::ranges::count_if(crashes, [&ofTask](const TaskCrash &other) {
+            return other.isSuspect && ofTask(other);
+        });
+        return suspected >= MAX_SUSPECTED_CRASHES || std::ranges::count_if(crashes, ofTask) >= MAX_CRASHES;
+    });
 }
 
 void CrashRecords::forgetOld(Instant now)
@@ -61,9 +72,9 @@
     }
 }
 
-std::vector<SuspectedCrash> CrashRecords::all() const
+std::vector<TaskCrash> CrashRecords::all() const
 {
-    std::vector<SuspectedCrash> crashes;
+    std::vector<TaskCrash> crashes;
     for (const auto &[submission, ofJob] : bySubmission_) {
         crashes.insert(crashes.end(), ofJob.begin(), ofJob.end());
     }
--- a/src/repeatable/crash_records.h
+++ b/src/repeatable/crash_records.h
@@ -12,25 +12,26 @@
 namespace medlarmill
 {
 
-/** A run that was among those started last when its endpoint crashed. */
-struct SuspectedCrash
+/** A run that its endpoint had when it crashed. */
+struct TaskCrash
 {
     RunName run; ///< The run.
     Incarnation agent = INVALID_INCARNATION; ///< Agent of the endpoint.
+    bool isSuspect = false; ///< It was among the runs started last.
 
-    bool operator==(const SuspectedCrash &) const = default;
+    bool operator==(const TaskCrash &) const = default;
 };
 
 /**
- * Remembers under which tasks endpoints crashed soon after the start. One such crash makes a task a suspect; after the second one it is
- * given up, since runs that were only beside the cause rarely are among the last started twice. Records outlive the job, so that a
- * resubmission through this entry or another one does not begin again.
+ * Remembers under which tasks endpoints crashed. A crash soon after the start makes a task a suspect; after the second one it is given up,
+ * since runs that were only beside the cause rarely are among the last started twice. A task that had run for longer is given up after
+ * more crashes. Records outlive the job, so that a resubmission through this entry or another one does not begin again.
  */
 class CrashRecords
 {
 public:
     /** Adds a crash; one that is known already is ignored. @param crash the crash. @param now current time. @return whether it is new. */
-    bool add(const SuspectedCrash &crash, Instant now);
+    bool add(const TaskCrash &crash, Instant now);
 
     /** @param submission a job. @param group index of a task group. @param index index of the task in it. @return whether an endpoint
      * crashed under the task. */
@@ -43,12 +44,10 @@
     void forgetOld(Instant now);
 
     /** @return all crashes that are remembered. */
-    std::vector<SuspectedCrash> all() const;
+    std::vector<TaskCrash> all() const;
 
 private:
-    std::size_t crashCount(std::span<const SuspectedCrash> crashes, std::uint32_t group, std::uint32_t index) const;
-
-    absl::flat_hash_map<SubmissionId, std::vector<SuspectedCrash>> bySubmission_;
+    absl::flat_hash_map<SubmissionId, std::vector<TaskCrash>> bySubmission_;
     std::deque<std::pair<Instant, SubmissionId>> times_; ///< When each crash was added, the oldest first.
 };
 
--- a/src/repeatable/repeatable_job_agent.h
+++ b/src/repeatable/repeatable_job_agent.h
@@ -169,7 +169,7 @@
     void finish(const RunKey &key, repeat::RunOutcome outcome, Reason reason, Instant now, std::uint32_t attemptFloor = 0);
     void finishAllAsLost(Reason reason, Instant now);
     void finishAllAfterEnd(Instant now);
-    void markCrashSuspects(std::span<const RunKey> lost, Instant now);
+    void reportCrash(std::span<const RunKey> lost);
     void stopExpiredRuns(Instant now);
     void reportLoad(Instant now);
     void markDirty();
--- a/src/repeatable/repeatable_job_agent_endpoint.cpp
+++ b/src/repeatable/repeatable_job_agent_endpoint.cpp
@@ -23,6 +23,7 @@
 constexpr Duration POLL_RETRY_PAUSE = Millis(50); ///< Pause before the next poll of an unresponsive endpoint.
 constexpr Duration SUSPECT_WINDOW
     = Millis(50); ///< Runs started at most so long before the last one that the endpoint accepted are suspects of its crash.
+constexpr std::size_t CRASH_FORWARDERS = 2; ///< Entries that pass a crash on to all others; one of them may fail meanwhile.
 constexpr Duration CLOCK_TOLERANCE = Millis(20); ///< Maximum error when mapping between the endpoint's clock and the agent's.
 
 }
@@ -300,6 +301,7 @@
         }
     }
     std::vector<RunKey> missing;
+    std::vector<RunKey> vanished;
     for (const auto &[key, run] : runs_) {
         if (present.contains(run.name)) {
             continue;
@@ -310,10 +312,13 @@
         if (wasRunning || wasStopped || neverArrived) {
             missing.push_back(key);
         }
+        if (wasRunning) {
+            vanished.push_back(key);
+        }
     }
     const Reason reason = earlierDrained_ ? Reason::EndpointRestarted : Reason::EndpointCrashed;
     if (reason == Reason::EndpointCrashed) {
-        markCrashSuspects(missing, now);
+        reportCrash(vanished);
     }
     for (const RunKey &key : missing) {
         const Run &run = runs_.at(key);
@@ -322,30 +327,44 @@
     }
 }
 
-void RepeatableJobAgent::markCrashSuspects(std::span<const RunKey> lost, Instant now)
+void RepeatableJobAgent::reportCrash(std::span<const RunKey> lost)
 {
     Instant newestStart = Instant::min();
     for (const RunKey &key : lost) {
         const Run &run = runs_.at(key);
-        if (run.reason == Reason::None && run.startedAt != NEVER) {
+        if (run.startedAt != NEVER) {
             newestStart = std::max(newestStart, run.startSentAt);
         }
     }
+    repeat::CrashNotice notice;
     std::size_t suspects = 0;
     for (const RunKey &key : lost) {
         Run &run = runs_.at(key);
-        if (run.reason != Reason::None || run.startSentAt == NEVER || run.startSentAt + SUSPECT_WINDOW < newestStart) {
-            continue;
-        }
-        run.isCrashSuspect = true;
-        ++suspects;
+        run.isCrashSuspect = run.startSentAt + SUSPECT_WINDOW >= newestStart;
+        suspects += run.isCrashSuspect ? 1 : 0;
+        repeat::TaskCrash *crash = notice.add_crashes();
+        crash->set_submission(run.name.submission);
+        crash->set_group(run.name.group);
+        crash->set_index(run.name.index);
+        crash->set_attempt(run.name.attempt);
+        crash->set_agent(toWire(settings_.incarnation));
+        crash->set_suspect(run.isCrashSuspect);
     }
-    if (suspects == 0) {
+    if (notice.crashes().empty()) {
         return;
     }
     counters_.add("agent_endpoint_crashes");
-    log_.warn(fmt::format("event=endpoint_crashed endpoint={} runs={} suspects={} newest_start_ms={}", notice_->id, lost.size(), suspects,
-                          toMillis(now - newestStart)));
+    log_.warn(fmt::format("event=endpoint_crashed endpoint={} runs={} suspects={}", notice_->id, notice.crashes_size(), suspects));
+    std::size_t told = 0;
+    for (const auto &[entry, link] : entries_) {
+        if (!link.up) {
+            continue;
+        }
+        repeat::Message message;
+        *message.mutable_crash_notice() = notice;
+        message.mutable_crash_notice()->set_forward(told++ < CRASH_FORWARDERS);
+        links_.sendTo(entry, std::move(message));
+    }
 }
 
 void RepeatableJobAgent::finishAllAfterEnd(Instant now)
@@ -356,9 +375,12 @@
     }
     std::vector<RunKey> lost;
     for (const auto &[key, run] : runs_) {
-        lost.push_back(key);
+        // A run whose entry is gone counts as well, as long as its stop has not been accepted.
+        if (run.startSentAt != NEVER && run.stopAcceptedAt == NEVER) {
+            lost.push_back(key);
+        }
     }
-    markCrashSuspects(lost, now);
+    reportCrash(lost);
     finishAllAsLost(Reason::EndpointCrashed, now);
 }
 
--- a/src/repeatable/repeatable_job_entry.cpp
+++ b/src/repeatable/repeatable_job_entry.cpp
@@ -24,8 +24,6 @@
 constexpr Duration ISOLATION_TIMEOUT = Millis(400); ///< After so long without a link to any agent, callers are sent to other entries.
 constexpr Duration MIN_RETRY_AFTER = Millis(100); ///< Minimum retry time sent to a refused caller.
 constexpr Duration MAX_RETRY_AFTER = Millis(5'000); ///< Maximum of the same; lost endpoints are replaced within seconds.
-constexpr std::uint32_t MAX_ENDPOINT_CRASHES
-    = 3; ///< A task is given up after so many crashes, even when it was never among the last started.
 constexpr Duration JOB_CHECK_INTERVAL = Millis(10); ///< Time between checks of the deadlines of jobs.
 
 std::size_t taskCount(const RepeatableJob &job)
@@ -547,19 +545,45 @@
     begunQueue_.insert(rankOf(number, job));
 }
 
+void RepeatableJobEntry::onCrashNotice(const repeat::CrashNotice &notice, Instant now)
+{
+    for (const repeat::TaskCrash &item : notice.crashes()) {
+        const TaskCrash crash{{item.submission(), item.group(), item.index(), item.attempt()}, toIncarnation(item.agent()), item.suspect()};
+        if (!crashRecords_.add(crash, now) || !crashRecords_.isGivenUp(item.submission())) {
+            continue;
+        }
+        const auto open = jobNumberById_.find(item.submission());
+        if (open != jobNumberById_.end()) {
+            finishJob(open->second, JobResult::Failed, Reason::CrashesEndpoints, now);
+        }
+    }
+}
+
+repeat::CrashNotice RepeatableJobEntry::crashNotice() const
+{
+    repeat::CrashNotice notice;
+    for (const TaskCrash &crash : crashRecords_.all()) {
+        repeat::TaskCrash *item = notice.add_crashes();
+        item->set_submission(crash.run.submission);
+        item->set_group(crash.run.group);
+        item->set_index(crash.run.index);
+        item->set_attempt(crash.run.attempt);
+        item->set_agent(toWire(crash.agent));
+        item->set_suspect(crash.isSuspect);
+    }
+    return notice;
+}
+
 bool RepeatableJobEntry::giveUpAfterCrash(JobNumber number, Job &job, RepeatableJobTask &task, const repeat::RunReport &report, Instant now)
 {
     if (report.outcome() == repeat::RUN_NOT_STARTED) {
         return false;
     }
-    ++task.crashes;
     const SubmissionId id = job.submission.id;
-    if (report.crash_suspect()) {
-        crashRecords_.add({{id, task.group, task.index, task.attempt}, task.agent}, now);
-    }
-    log_.warn(fmt::format("event=task_under_crash id={} kind={} group={} index={} attempt={} crashes={} suspect={:d}", id,
-                          job.submission.policy.kind, task.group, task.index, task.attempt, task.crashes, report.crash_suspect()));
-    if (!crashRecords_.isGivenUp(id) && task.crashes < MAX_ENDPOINT_CRASHES) {
+    crashRecords_.add({{id, task.group, task.index, task.attempt}, task.agent, report.crash_suspect()}, now);
+    log_.warn(fmt::format("event=task_under_crash id={} kind={} group={} index={} attempt={} suspect={:d}", id, job.submission.policy.kind,
+                          task.group, task.index, task.attempt, report.crash_suspect()));
+    if (!crashRecords_.isGivenUp(id)) {
         return false;
     }
     finishJob(number, JobResult::Failed, Reason::CrashesEndpoints, now);
--- a/src/repeatable/repeatable_job_entry.h
+++ b/src/repeatable/repeatable_job_entry.h
@@ -73,6 +73,12 @@
     /** Handles a message from an agent. @param agent the sender. @param message the message. @param now current time. */
     void onAgentMessage(Incarnation agent, const repeat::Message &message, Instant now);
 
+    /** Takes in crashes of endpoints and gives up the jobs that caused them. @param notice the crashes. @param now current time. */
+    void onCrashNotice(const repeat::CrashNotice &notice, Instant now);
+
+    /** @return the crashes that are remembered, for an entry that has just been linked. */
+    repeat::CrashNotice crashNotice() const;
+
     /** Orders waiting tasks for which there is free capacity; to be called after each batch of events. @param now current time. */
     void dispatchTasks(Instant now);
 
@@ -136,7 +142,6 @@
         TaskState state = TaskState::Blocked; ///< State of the task.
         std::uint32_t attempt = 0; ///< Attempt number of the newest order.
         std::uint32_t failures = 0; ///< Number of runs that failed.
-        std::uint32_t crashes = 0; ///< Number of runs whose endpoint crashed.
         Incarnation avoidedAgent = INVALID_INCARNATION; ///< Agent of the newest run that failed, was lost or was refused by the endpoint.
         OrderId orderId = INVALID_ORDER_ID; ///< Newest order.
         Incarnation agent = INVALID_INCARNATION; ///< Agent of the newest order.
--- a/src/repeatable/repeatable_job_entry_agents.cpp
+++ b/src/repeatable/repeatable_job_entry_agents.cpp
@@ -91,6 +91,8 @@
         }
     } else if (message.has_run_report()) {
         onRunReport(agent, message.run_report(), now);
+    } else if (message.has_crash_notice()) {
+        onCrashNotice(message.crash_notice(), now);
     }
 }
 
--- a/tests/repeatable/repeatable_job_fuzz_test.cpp
+++ b/tests/repeatable/repeatable_job_fuzz_test.cpp
@@ -142,7 +142,6 @@
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
         RepeatableJobWorld world(seed, 3, 11);
         world.crashingJobsIn100 = 3;
-        world.trace = std::getenv("TRACE") != nullptr;
         world.run({}, LOAD_MS, 20);
         CHECK(world.oracle().violations.empty());
         CHECK(world.oracle().crashes > 0);
@@ -151,6 +150,22 @@
     }
 }
 
+TEST_CASE("a task that crashes endpoints is not started anew through another entry after the loss of its entry")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        RepeatableJobWorld world(seed, 3, 11);
+        world.crashingJobsIn100 = 3;
+        std::vector<FaultEvent> faults;
+        for (int at = 300; at < LOAD_MS; at += 400) {
+            faults.push_back({Fault::KillEntry, at, 0, at / 400});
+        }
+        world.run(faults, LOAD_MS, 20);
+        CHECK(world.oracle().violations.empty());
+        CHECK(world.oracle().crashes > 0);
+        CHECK(world.oracle().mostCrashes <= 2);
+    }
+}
+
 TEST_CASE("random faults never violate an invariant")
 {
     rc::check("endpoints that enforce their capacity", [] {
--- a/tests/repeatable/repeatable_job_world.cpp
+++ b/tests/repeatable/repeatable_job_world.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr Duration RESUBMIT_DELAY = Millis(1'300); ///< Callers resubmit this long after a closed connection or an abandoned job.
+constexpr Duration ENTRY_LINK_DELAY = Millis(50); ///< From the start of an entry until it is linked to the others.
 constexpr Duration LINK_TIMEOUT = Millis(1'500); ///< Same value as in the message hub.
 constexpr Duration NOTICE_INTERVAL = Millis(1'500);
 constexpr int MAX_SUBMISSIONS = 4;
@@ -63,6 +64,13 @@
     settings.incarnation = node.incarnation = toIncarnation(nextIncarnation_++);
     node.core = std::make_unique<RepeatableJobEntry>(settings, node, node, node.log);
     node.frozenUntil = Instant();
+    schedule(ENTRY_LINK_DELAY, [this, entry] {
+        for (const auto &peer : entries_) {
+            if (peer->core != nullptr && entries_[entry]->core != nullptr) {
+                entries_[entry]->core->onCrashNotice(peer->core->crashNotice(), now_);
+            }
+        }
+    });
 }
 
 void RepeatableJobWorld::startAgent(int agent)
