Fix: Runs of an earlier agent process that were still stopping took no room

Cause: an agent that starts stops the runs that it finds and did not start, and counted them as gone at once; its first starts came beside them and brought an endpoint that does not guard its capacity over it. Class: a resource counted as free when its release was asked for, not when it was seen. Change: nothing is started until the endpoint no longer lists such runs; it is asked each 10 ms meanwhile. The random faults of the simulation include a shrinking endpoint from now on.

--- a/src/repeatable/repeatable_job_agent.cpp
+++ b/src/repeatable/repeatable_job_agent.cpp
@@ -230,7 +230,7 @@
 
 void RepeatableJobAgent::startQueued(Instant now)
 {
-    if (!notice_.has_value() || !responsive_ || now < startsBlockedUntil_) {
+    if (!notice_.has_value() || !responsive_ || hasForeignRuns_ || now < startsBlockedUntil_) {
         return;
     }
     auto next = queue_.begin();
--- a/src/repeatable/repeatable_job_agent.h
+++ b/src/repeatable/repeatable_job_agent.h
@@ -209,6 +209,7 @@
     Instant probationUntil_; ///< No other run is started before, so that a crash tells its cause.
     Instant startsBlockedUntil_; ///< No start is sent before this time, because the endpoint refused one for lack of resources.
     EndpointHealth health_;
+    bool hasForeignRuns_ = false; ///< The endpoint still has runs of an earlier agent process, which are being stopped and take room.
     bool earlierDrained_ = false; ///< The earlier incarnation of the endpoint was draining, so its end was planned.
     bool draining_ = false;
     Instant now_; ///< Time of the event being handled; also set by callbacks of the endpoint.
--- a/src/repeatable/repeatable_job_agent_endpoint.cpp
+++ b/src/repeatable/repeatable_job_agent_endpoint.cpp
@@ -14,6 +14,7 @@
 
 constexpr Millis POLL_WAIT{150}; ///< How long the endpoint may delay the answer to a poll until a run finishes.
 constexpr Millis SHORT_POLL_WAIT{40}; ///< The same after an unanswered poll, so that a run listed in the lost answer is seen sooner.
+constexpr Millis FOREIGN_POLL_WAIT{10}; ///< The same while runs of an earlier agent process keep others from being started.
 constexpr int SHORT_POLL_COUNT = 20; ///< Number of polls with the short wait after an unanswered poll.
 constexpr Duration POLL_TIMEOUT = Millis(40); ///< Time limit for the answer to a poll, in addition to the wait; most answers take 2 ms.
 constexpr int MISSED_POLLS_LIMIT = 4; ///< Unanswered polls in a row, at most 430 ms, after which the endpoint counts as unresponsive.
@@ -82,6 +83,7 @@
     newestStartUnixMs_ = startUnixMs;
     health_.reset();
     probationUntil_ = Instant();
+    hasForeignRuns_ = false;
     acknowledgedSequence_ = 0;
     endpointClockMs_ = 0;
     // With a higher token, the endpoint refuses delayed calls that were sent to an earlier incarnation.
@@ -102,7 +104,12 @@
         return;
     }
     pollPending_ = true;
-    const Millis wait = !responsive_ ? Millis(0) : shortPollsLeft_ > 0 ? SHORT_POLL_WAIT : POLL_WAIT;
+    Millis wait = shortPollsLeft_ > 0 ? SHORT_POLL_WAIT : POLL_WAIT;
+    if (!responsive_) {
+        wait = Millis(0);
+    } else if (hasForeignRuns_) {
+        wait = FOREIGN_POLL_WAIT;
+    }
     shortPollsLeft_ = std::max(0, shortPollsLeft_ - 1);
     EndpointCall call = makeCall(responsive_ && !runs_.empty(), now);
     call.timeout = wait + POLL_TIMEOUT;
@@ -282,10 +289,12 @@
 void RepeatableJobAgent::reconcileActiveRuns(const EndpointPollResult &result, Instant sentAt, Instant now)
 {
     absl::btree_set<RunName> present;
+    hasForeignRuns_ = false;
     for (const ActiveRun &item : result.active) {
         present.insert(item.name);
         const auto known = runsByName_.find(item.name);
         if (known == runsByName_.end()) {
+            hasForeignRuns_ = true;
             stopUnknownRun(item.name, now);
             continue;
         }
--- a/tests/repeatable/fake_endpoint.cpp
+++ b/tests/repeatable/fake_endpoint.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr std::uint64_t MAX_LEASE_MS = 1'000;
+constexpr Duration RESIZE_GRACE = Millis(4'500); ///< Time of contact and one announcement; then a smaller capacity counts.
 constexpr Duration STOP_DURATION = Millis(50);
 
 TaskKey taskKeyOf(const RunName &run)
@@ -199,7 +200,13 @@
             answer.status = EndpointCallStatus::NoRoom;
             return answer;
         }
-        oracle_.onOverCapacity(number_, now);
+        Resources allowed = now < allowedUntil_ ? allowedCapacity_ : capacity;
+        for (const auto &[name, other] : runs_) {
+            allowed.subtract(other.demand);
+        }
+        if (!demand.fitsInto(allowed)) {
+            oracle_.onOverCapacity(number_, now);
+        }
     }
     runs_[run] = {demand, now, now + std::chrono::duration_cast<Duration>(work * slowdown), fails};
     oracle_.onStart(number_, run, now);
@@ -259,6 +266,13 @@
     return result;
 }
 
+void FakeEndpoint::resize(Resources after, Instant now)
+{
+    allowedCapacity_ = capacity.fitsInto(after) ? after : capacity;
+    allowedUntil_ = now + RESIZE_GRACE;
+    capacity = after;
+}
+
 void FakeEndpoint::crash(Instant now)
 {
     advance(now);
--- a/tests/repeatable/fake_endpoint.h
+++ b/tests/repeatable/fake_endpoint.h
@@ -13,6 +13,8 @@
 namespace medlarmill::fake
 {
 
+inline constexpr Resources FULL_CAPACITY{16'000, 4'096, 0}; ///< Capacity of a simulated endpoint.
+
 using TaskKey = std::tuple<std::string, std::uint32_t, std::uint32_t>; ///< Job, group, index.
 
 /** Test oracle: checks the invariants of repeatable jobs across all endpoints and submissions. */
@@ -82,6 +84,10 @@
     /** Ends the runs that are finished, stopped or without a valid lease. */
     void advance(Instant now);
 
+    /** Changes the capacity. Starts that fit into the earlier one are allowed until the agent must know. @param after the new capacity.
+     * @param now current time. */
+    void resize(Resources after, Instant now);
+
     /** Loses all runs and state, and starts as a new incarnation. */
     void crash(Instant now);
 
@@ -104,7 +110,7 @@
     double clockRate = 1; ///< Speed of its clock relative to real time.
     double slowdown = 1; ///< Factor on run times.
     bool keepsId = false; ///< Keeps its id after the next crash.
-    Resources capacity{16'000, 4'096, 0};
+    Resources capacity{FULL_CAPACITY};
 
 private:
     struct Run
@@ -124,6 +130,8 @@
 
     int number_;
     Oracle &oracle_;
+    Resources allowedCapacity_{FULL_CAPACITY}; ///< The larger of the capacities before and after the last change.
+    Instant allowedUntil_; ///< Until then it counts instead of the capacity.
     int incarnation_ = 1;
     int idIncarnation_ = 1; ///< Incarnation number in its id.
     Instant startedAt_;
--- a/tests/repeatable/repeatable_job_agent_test.cpp
+++ b/tests/repeatable/repeatable_job_agent_test.cpp
@@ -98,6 +98,11 @@
 
     /** Sends an order for one task of 100 ms as the entry. */
     void sendOrder(std::uint64_t number, bool refuseWhenFull = false)
+    {
+        agent.onEntryMessage(ENTRY, makeOrder(number, refuseWhenFull), now);
+    }
+
+    repeat::Message makeOrder(std::uint64_t number, bool refuseWhenFull = false) const
     {
         repeat::Message message;
         repeat::RunOrder *order = message.mutable_run_order();
@@ -110,7 +115,7 @@
         order->set_expected_ms(100);
         order->set_stamp(toMillis(now.time_since_epoch()));
         order->set_refuse_when_full(refuseWhenFull);
-        agent.onEntryMessage(ENTRY, message, now);
+        return message;
     }
 
     std::vector<repeat::RunReport> reports() const
@@ -225,6 +230,38 @@
     CHECK(reports().back().outcome() == repeat::RUN_DONE);
 }
 
+TEST_CASE_FIXTURE(AgentFixture, "nothing is started beside runs of an earlier agent process that are still stopping")
+{
+    api.endpoint.enforcesCapacity = false;
+    EndpointCall call;
+    const EndpointNotice notice = api.endpoint.notice(now);
+    call.endpointId = notice.id;
+    call.fencingToken = notice.clockMs;
+    call.leaseExpiryMs = notice.clockMs + 500;
+    for (std::uint32_t index = 0; index < 5; ++index) {
+        const EndpointAnswer answer = api.endpoint.start(call, {"earlier", 0, index, 1}, Millis(400), false, {3'000, 64, 0}, now);
+        REQUIRE(answer.status == EndpointCallStatus::Accepted);
+    }
+    api.pending.clear();
+    RepeatableJobAgent restarted({"agent", "a", Incarnation{78}}, recorder, api, log);
+    restarted.onEntryUp(ENTRY, now);
+    restarted.onNotice(api.endpoint.notice(now), now);
+    api.executePending(now);
+    for (std::uint64_t number = 1; number <= 5; ++number) {
+        restarted.onEntryMessage(ENTRY, makeOrder(number), now);
+    }
+    for (int step = 0; step < 30; ++step, now += Millis(10)) {
+        api.endpoint.advance(now);
+        api.executePending(now);
+        repeat::Message ping;
+        ping.mutable_entry_ping()->set_stamp(toMillis(now.time_since_epoch()));
+        restarted.onEntryMessage(ENTRY, ping, now);
+        restarted.tick(now);
+    }
+    CHECK(api.oracle.violations.empty());
+    CHECK(std::ranges::count(reports(), repeat::RUN_DONE, &repeat::RunReport::outcome) == 5);
+}
+
 TEST_CASE_FIXTURE(AgentFixture, "unanswered poll calls do not make running tasks count as lost")
 {
     sendOrder(1);
--- a/tests/repeatable/repeatable_job_fuzz_test.cpp
+++ b/tests/repeatable/repeatable_job_fuzz_test.cpp
@@ -189,6 +189,26 @@
     });
 }
 
+TEST_CASE("endpoints that shrink and grow while agents are killed are never started above their capacity")
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        RepeatableJobWorld world(seed, 3, 4);
+        world.endpointsEnforceCapacity = false;
+        std::vector<FaultEvent> faults;
+        for (int agent = 0; agent < 4; ++agent) {
+            faults.push_back({Fault::ShrinkEndpoint, 300 + agent * 200, 6'000, agent});
+            faults.push_back({Fault::KillAgent, 2'000 + agent * 700, 0, agent});
+            faults.push_back({Fault::KillAgent, 5'500 + agent * 300, 0, agent});
+        }
+        world.run(faults, LOAD_MS, 25);
+        for (const std::string &violation : world.oracle().violations) {
+            MESSAGE(violation);
+        }
+        CHECK(world.oracle().violations.empty());
+        CHECK(world.recovered());
+    }
+}
+
 TEST_CASE("runs never overlap at endpoints that do not check fencing tokens, with slow and fast clocks and frozen processes")
 {
     rc::check("endpoints that do not check fencing tokens", [] {
--- a/tests/repeatable/repeatable_job_world.h
+++ b/tests/repeatable/repeatable_job_world.h
@@ -37,9 +37,10 @@
     KillAll, ///< All entries, agents and endpoints crash at once; connections are reset.
     StopAgent, ///< The agent stops as planned: it drains, ends and restarts.
     StalledRuns, ///< Runs at the endpoint make no progress.
+    ShrinkEndpoint, ///< The endpoint has less than half of its capacity, and announces it.
 };
 
-constexpr int FAULT_KINDS = static_cast<int>(Fault::StalledRuns) + 1;
+constexpr int FAULT_KINDS = static_cast<int>(Fault::ShrinkEndpoint) + 1;
 
 /** One injected fault. */
 struct FaultEvent
--- a/tests/repeatable/repeatable_job_world_faults.cpp
+++ b/tests/repeatable/repeatable_job_world_faults.cpp
@@ -112,6 +112,9 @@
     case Fault::StalledRuns:
         agentNode.endpoint.stalled = true;
         break;
+    case Fault::ShrinkEndpoint:
+        agentNode.endpoint.resize({7'000, 4'096, 0}, now_);
+        break;
     }
 }
 
@@ -174,6 +177,9 @@
     case Fault::StalledRuns:
         agentNode.endpoint.stalled = false;
         break;
+    case Fault::ShrinkEndpoint:
+        agentNode.endpoint.resize(FULL_CAPACITY, now_);
+        break;
     default:
         break;
     }
