Fix: Runs that waited at an endpoint whose capacity shrank were kept until their deadline

Cause: runs that wait at an agent were kept when the endpoint announced less capacity, though other endpoints had room. Evidence: the new agent test failed before (none of two waiting runs handed back) and passes; it also starts nothing above the smaller capacity. Change: they are handed back as not started; event=endpoint_shrunk and a counter tell it. Runs under way go on: the rule is about starts, and what has run for long is not thrown away.

--- a/src/repeatable/repeatable_job_agent.cpp
+++ b/src/repeatable/repeatable_job_agent.cpp
@@ -443,6 +443,17 @@
     endpoint_.stop(call, name, [](const EndpointAnswer &) {});
 }
 
+void RepeatableJobAgent::handBackQueued()
+{
+    std::vector<RunKey> queued;
+    for (const auto &[rank, key] : queue_) {
+        queued.push_back(key);
+    }
+    for (const RunKey &key : queued) {
+        finish(key, repeat::RUN_NOT_STARTED, Reason::NoRoom, now_);
+    }
+}
+
 void RepeatableJobAgent::finish(const RunKey &key, repeat::RunOutcome outcome, Reason reason, Instant now, std::uint32_t attemptFloor)
 {
     const auto found = runs_.find(key);
--- a/src/repeatable/repeatable_job_agent.h
+++ b/src/repeatable/repeatable_job_agent.h
@@ -156,6 +156,7 @@
     void finishRefused(const RunKey &key, Run &run, Reason reason);
     void stop(const RunKey &key, Run &run, Reason reason, Instant now);
     void sendStop(const RunKey &key, Run &run, Instant now);
+    void handBackQueued();
     void stopUnknownRun(const RunName &name, Instant now);
     void poll(Instant now);
     void pollImmediately(Instant now);
--- a/src/repeatable/repeatable_job_agent_endpoint.cpp
+++ b/src/repeatable/repeatable_job_agent_endpoint.cpp
@@ -67,7 +67,14 @@
     } else if (notice.draining != notice_->draining) {
         log_.info(fmt::format("event=endpoint_state endpoint={} draining={} held={}", notice.id, notice.draining, runs_.size()));
     }
+    const bool shrunk = same && !notice_->capacity.fitsInto(notice.capacity);
     notice_ = notice;
+    if (shrunk) {
+        log_.state(fmt::format("event=endpoint_shrunk endpoint={} cpu={} mem_mb={} gpu={} queued={}", notice.id, notice.capacity.cpu,
+                               notice.capacity.memMb, notice.capacity.gpu, queue_.size()));
+        counters_.add("agent_endpoint_shrunk");
+        handBackQueued();
+    }
     updateEndpointClock(notice.clockMs, now);
     markDirty();
     if (!pollPending_ && now >= nextPollAt_) {
--- a/tests/repeatable/repeatable_job_agent_test.cpp
+++ b/tests/repeatable/repeatable_job_agent_test.cpp
@@ -262,6 +262,30 @@
     CHECK(std::ranges::count(reports(), repeat::RUN_DONE, &repeat::RunReport::outcome) == 5);
 }
 
+TEST_CASE_FIXTURE(AgentFixture, "runs that wait are handed back when the capacity shrinks, and nothing is started above it")
+{
+    api.endpoint.enforcesCapacity = false;
+    for (std::uint64_t number = 1; number <= 7; ++number) {
+        sendOrder(number);
+    }
+    runFor(Millis(20));
+    CHECK(reports().empty());
+    api.endpoint.capacity = {6'000, 4'096, 0};
+    agent.onNotice(api.endpoint.notice(now), now);
+    REQUIRE(reports().size() == 2);
+    CHECK(reports()[0].outcome() == repeat::RUN_NOT_STARTED);
+    CHECK(static_cast<Reason>(reports()[0].reason()) == Reason::NoRoom);
+    sendOrder(8, true);
+    CHECK(reports().size() == 3);
+    runFor(Millis(200));
+    sendOrder(9, true);
+    sendOrder(10, true);
+    sendOrder(11, true);
+    runFor(Millis(200));
+    CHECK(api.oracle.violations.empty());
+    CHECK(std::ranges::count(reports(), repeat::RUN_DONE, &repeat::RunReport::outcome) == 7);
+}
+
 TEST_CASE_FIXTURE(AgentFixture, "unanswered poll calls do not make running tasks count as lost")
 {
     sendOrder(1);
