Fix: Jobs that arrived just after a pause of their entry were refused for lack of capacity

Cause: an entry that wakes finds its links dead. Until they are up again and the agents have reported, some ms, admission knows of no capacity, so every job but the first was refused with deadline_unreachable and a retry time of 5 s. Class: the lack of knowledge taken for a lack of capacity. The new entry test failed before (1 of 4 jobs ordered) and passes.

--- a/src/repeatable/repeatable_job_entry.cpp
+++ b/src/repeatable/repeatable_job_entry.cpp
@@ -137,7 +137,8 @@
     }
     const Duration criticalPath = criticalPathTime(job);
     const Duration objective = responseTimeObjective(job, criticalPath);
-    if (begunQueue_.empty() && onTimeQueue_.empty()) {
+    // While the capacity is not known, as after a pause of this process, jobs wait for the links; isIsolated() limits that.
+    if ((begunQueue_.empty() && onTimeQueue_.empty()) || !isCapacityKnown(now)) {
         return Reason::None;
     }
     QueuedWork added{now + objective - criticalPath, 0};
--- a/src/repeatable/repeatable_job_entry.h
+++ b/src/repeatable/repeatable_job_entry.h
@@ -195,6 +195,7 @@
     bool dispatchJob(JobNumber number, Job &job, Instant now);
     bool placeTasks(JobNumber number, Job &job, Instant now, std::string &placedTasks);
     bool isIsolated(Instant now) const;
+    bool isCapacityKnown(Instant now) const;
     static bool hasOrder(const Job &job);
     void sendOrder(JobNumber number, Job &job, std::uint32_t position, const PlacementChoice &choice, Instant now);
     void onRunReport(Incarnation agent, const repeat::RunReport &report, Instant now);
@@ -232,6 +233,7 @@
     std::uint64_t nextOrderId_ = 1;
     bool draining_ = false;
     Instant isolatedSince_ = NEVER - std::chrono::hours(1); ///< Since when no agent link has been up; far in the future while one is up.
+    Instant linksSettleAt_; ///< Until then, links come up after a time without any, and free capacity is not known yet.
     Instant nextJobCheck_;
     Counters counters_;
     Histograms histograms_;
--- a/src/repeatable/repeatable_job_entry_agents.cpp
+++ b/src/repeatable/repeatable_job_entry_agents.cpp
@@ -18,6 +18,8 @@
 constexpr Duration HELLO_DELAY_MARGIN = Millis(300); ///< Allowance for the time that a hello spent in socket buffers.
 constexpr Duration PING_INTERVAL = Millis(60); ///< Minimum time between pings to an agent with orders.
 constexpr Duration IDLE_PING_INTERVAL = Millis(500); ///< The same for an agent without orders; links without traffic for 1.5 s are closed.
+constexpr Duration LINK_SETTLING_TIME
+    = Millis(50); ///< From the first link after a time without any until the others and their load are known.
 constexpr Duration SILENCE_TIMEOUT = Millis(350); ///< The link to an agent with orders is reset after so long without a message.
 constexpr Duration IDLE_SILENCE_TIMEOUT = Millis(1'200); ///< The same for an agent without orders.
 
@@ -25,6 +27,9 @@
 
 void RepeatableJobEntry::onAgentUp(const repeat::AgentHello &hello, Instant now)
 {
+    if (!hasConnectedAgent()) {
+        linksSettleAt_ = now + LINK_SETTLING_TIME;
+    }
     const Incarnation incarnation = toIncarnation(hello.incarnation());
     AgentStatus &status = placement_.agents()[incarnation];
     status.name = hello.name();
@@ -180,6 +185,11 @@
     }
 }
 
+bool RepeatableJobEntry::isCapacityKnown(Instant now) const
+{
+    return hasConnectedAgent() && now >= linksSettleAt_;
+}
+
 bool RepeatableJobEntry::hasConnectedAgent() const
 {
     return std::ranges::any_of(placement_.agents(), [](const auto &item) {
--- a/tests/repeatable/repeatable_job_entry_test.cpp
+++ b/tests/repeatable/repeatable_job_entry_test.cpp
@@ -96,6 +96,23 @@
     CHECK(recorder.answers.at(CallerToken{2}).result == JobResult::Complete);
 }
 
+TEST_CASE_FIXTURE(EntryFixture, "jobs that arrive before the links are up again after a pause are not refused for lack of capacity")
+{
+    addAgent();
+    entry.onAgentDown(AGENT, now);
+    for (std::uint64_t caller = 1; caller <= 4; ++caller) {
+        submit(caller, "j" + std::to_string(caller), 1);
+    }
+    CHECK(recorder.answers.empty());
+    now += Millis(20);
+    addAgent(3'000);
+    submit(5, "j5", 1);
+    CHECK(recorder.answers.empty());
+    addAgent(16'000, Incarnation{78});
+    entry.dispatchTasks(now);
+    CHECK(recorder.orders().size() == 5);
+}
+
 TEST_CASE_FIXTURE(EntryFixture, "the last log line of a job has its slowest agent and the retry delay")
 {
     addAgent();
