Change: Hand over suspects only, end a probation with its run, let runs of an earlier process lapse

Cause: rereading the change. A new link got every crash remembered, up to 5,000, though those with suspects decide; a probation went on for 100 ms after a run of 50 ms was done; an agent with waiting orders extended the lease of the runs of its earlier process while it stopped them. Change: the three, each in a line or two.

--- a/src/entry_daemon/repeatable_job_entry_process.cpp
+++ b/src/entry_daemon/repeatable_job_entry_process.cpp
@@ -142,7 +142,9 @@
     learnAddresses({hello.entry_hello().address()});
     repeat::Message crashes;
     *crashes.mutable_crash_notice() = core_.crashNotice();
-    hub_.sendTo(peer, std::move(crashes));
+    if (!crashes.crash_notice().crashes().empty()) {
+        hub_.sendTo(peer, std::move(crashes));
+    }
     if (!hello.entry_hello().asks_for_config()) {
         configReceivers_.insert(peer);
         sendConfig(peer);
--- a/src/repeatable/repeatable_job_agent.cpp
+++ b/src/repeatable/repeatable_job_agent.cpp
@@ -474,6 +474,9 @@
     if (run.startedAt != NEVER) {
         histograms_.add("run", ALL_KINDS, ran);
     }
+    if (run.isProbation && outcome == repeat::RUN_DONE) {
+        probationUntil_ = Instant();
+    }
     if (run.state == RunState::Queued) {
         queue_.erase({run.rank, key});
         queuedDemand_.subtract(run.demand);
--- a/src/repeatable/repeatable_job_agent_endpoint.cpp
+++ b/src/repeatable/repeatable_job_agent_endpoint.cpp
@@ -118,7 +118,8 @@
         wait = FOREIGN_POLL_WAIT;
     }
     shortPollsLeft_ = std::max(0, shortPollsLeft_ - 1);
-    EndpointCall call = makeCall(responsive_ && !runs_.empty(), now);
+    // Without a started run of this process, runs of an earlier one must not live on by a longer lease.
+    EndpointCall call = makeCall(responsive_ && runs_.size() > queue_.size(), now);
     call.timeout = wait + POLL_TIMEOUT;
     const std::uint64_t generation = generation_;
     endpoint_.poll(call, acknowledgedSequence_, wait, [this, generation, now](const EndpointPollResult &result) {
--- a/src/repeatable/repeatable_job_entry.cpp
+++ b/src/repeatable/repeatable_job_entry.cpp
@@ -564,6 +564,9 @@
 {
     repeat::CrashNotice notice;
     for (const TaskCrash &crash : crashRecords_.all()) {
+        if (!crash.isSuspect) {
+            continue;
+        }
         repeat::TaskCrash *item = notice.add_crashes();
         item->set_submission(crash.run.submission);
         item->set_group(crash.run.group);
--- a/src/repeatable/repeatable_job_entry.h
+++ b/src/repeatable/repeatable_job_entry.h
@@ -76,7 +76,7 @@
     /** Takes in crashes of endpoints and gives up the jobs that caused them. @param notice the crashes. @param now current time. */
     void onCrashNotice(const repeat::CrashNotice &notice, Instant now);
 
-    /** @return the crashes that are remembered, for an entry that has just been linked. */
+    /** @return the crashes with suspects that are remembered, for an entry that has just been linked. */
     repeat::CrashNotice crashNotice() const;
 
     /** Orders waiting tasks for which there is free capacity; to be called after each batch of events. @param now current time. */
