Feature: Tests on the real programs for a crashing task and for connections that go silent with an answer under way

Change: the stand-in's endpoints crash on request; such answers are held back; the test of a crashing task asks every entry for its job.

--- a/tests/platform_faults.py
+++ b/tests/platform_faults.py
@@ -133,6 +133,17 @@
     return good & check(not again, f"silent connections: {len(again)} reads of the configuration over a connection as old as the silent one")
 
 
+def crashing_task(system):
+    """A task crashes each endpoint that starts it: its job fails after two crashes, and so at another entry, without a further start."""
+    job = "c" * 16
+    answer = submit(0, job, 300, 1, more=" crash")
+    crashes = system.oracle.crashes.get(job, 0)
+    good = check(answer == (200, '{"state":"failed"}\n') and crashes == 2, f"a crashing task is given up after two crashes: {answer}, {crashes}")
+    again = [submit(number, job, 300, 1, more=" crash") for number in range(ENTRIES)]
+    crashes = system.oracle.crashes[job]
+    return good & check(again == [answer] * ENTRIES and crashes == 2, f"it is not started again through any entry: {again}, {crashes}")
+
+
 def planned_stop(system):
     """A stop with connections in use loses no answer, and the process ends by itself with code 0."""
     callers = Callers(system, 6)
@@ -163,7 +174,7 @@
     try:
         system.wait_ready()
         time.sleep(1)
-        for test in (quiet, bad_input, configuration_changes, configuration_series, table_connections_silent, entry_killed, entries_paused, agent_paused_and_killed, planned_stop,
+        for test in (quiet, bad_input, configuration_changes, configuration_series, table_connections_silent, crashing_task, entry_killed, entries_paused, agent_paused_and_killed, planned_stop,
                      all_killed_without_table):
             good = test(system)
             passed, failed = passed + bool(good), failed + (not good)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -11,6 +11,7 @@
 LONGEST_LEASE_MS = 1000
 STOP_S = 0.02
 SILENCE_S = 10
+CRASH_S = 0.01  # From the start of a crashing task to the crash.
 
 
 class Oracle:
@@ -21,6 +22,7 @@
         self.alive = {}
         self.starts = {}
         self.done = {}
+        self.crashes = {}  # Endpoints that each job crashed.
         self.violations = []
 
     def start(self, endpoint, task):
@@ -66,6 +68,9 @@
                     self.close_connection = True
                     return
                 status, answer = owner.answer_to(self.client_address[0], self.command, parts.path, query, body, self.headers)
+                if self.opened < owner.silent_before:
+                    time.sleep(SILENCE_S)
+                    status = None
                 if status is None:
                     self.close_connection = True
                     return
@@ -161,7 +166,7 @@
 
 
 class Endpoint(Server):
-    """Runs tasks under leases. The run time in ms is the first word of the spec."""
+    """Runs tasks under leases. The run time in ms is the first word of the spec; one that ends with "crash" crashes the endpoint."""
 
     def __init__(self, ip, port, name, oracle, cpu):
         self.name = name
@@ -265,6 +270,10 @@
         self.runs[key] = {"begin": time.monotonic(), "end": time.monotonic() + run_s, "stopping": False,
                           "fails": random.random() < self.failing}
         self.oracle.start(self.name, key[0])
+        if request["spec"].endswith(" crash"):
+            job = key[0].split(".")[0]
+            self.oracle.crashes[job] = self.oracle.crashes.get(job, 0) + 1
+            threading.Timer(CRASH_S, self.reborn).start()
         return 200, reply
 
     def look(self, request, reply):
--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -126,10 +126,10 @@
     return sum(float(line.rsplit(" ", 1)[1]) for line in lines if line.startswith(f"medlarmill_{name}"))
 
 
-def submit(number, job, run_ms, tasks, queue="check"):
+def submit(number, job, run_ms, tasks, queue="check", more=""):
     """@return status and body, or None without an answer."""
     connection = http.client.HTTPConnection(f"127.0.0.{11 + number}", 18161, timeout=PATIENCE_MS / 1000 + 0.2)
-    body = {"spec": f"{run_ms} {job}", "best_effort": True,
+    body = {"spec": f"{run_ms} {job}{more}", "best_effort": True,
             "task_groups": [{"count": tasks, "cpu": 3000, "mem_mb": 64, "estimate_ms": run_ms}]}
     try:
         connection.request("POST", f"/{queue}/{job}", json.dumps(body), {"Host": "desk.example", "X-Deadline-Ms": str(PATIENCE_MS)})
