Fix: A run that its endpoint no longer listed was taken for a crash, and its job failed

Cause: with calls that are answered late, a list can lack a run of the same incarnation of the endpoint. Such a run was counted as lost with a crashed endpoint; and a start without an answer made its task a suspect, though it may not have been carried out. Class: evidence inferred from an absence. Change: a run counts as under a crash only when the incarnation of the endpoint that had it is over; a suspect's start must have been accepted.

--- a/src/repeatable/repeatable_job_agent.cpp
+++ b/src/repeatable/repeatable_job_agent.cpp
@@ -268,6 +268,7 @@
 {
     run.state = RunState::Starting;
     run.startSentAt = std::min(run.startSentAt, now);
+    run.incarnation = endpointIncarnation_;
     if (run.isProbation) {
         probationUntil_ = now + PROBATION;
     }
--- a/src/repeatable/repeatable_job_agent.h
+++ b/src/repeatable/repeatable_job_agent.h
@@ -114,6 +114,8 @@
         Duration expected{0}; ///< Expected run time.
         Instant arrivedAt; ///< When the order arrived.
         Instant startSentAt = NEVER; ///< When the first start call was sent.
+        std::uint64_t incarnation
+            = 0; ///< Incarnation of the endpoint that it was sent to, or that listed it last; see endpointIncarnation_.
         bool isProbation = false; ///< An endpoint crashed soon after it started this task: nothing else is started for a moment.
         bool isCrashSuspect = false; ///< The endpoint crashed soon after it was started.
         Instant startedAt = NEVER; ///< When the endpoint accepted or first listed the run.
--- a/src/repeatable/repeatable_job_agent_endpoint.cpp
+++ b/src/repeatable/repeatable_job_agent_endpoint.cpp
@@ -309,6 +309,7 @@
         Run &run = runs_.at(known->second);
         run.startedAt = std::min(run.startedAt, now);
         run.listedAt = now;
+        run.incarnation = endpointIncarnation_;
         if (item.progress != run.progress || run.progressAt == Instant()) {
             run.progress = item.progress;
             run.progressAt = now;
@@ -329,17 +330,18 @@
         if (wasRunning || wasStopped || neverArrived) {
             missing.push_back(key);
         }
-        if (wasRunning) {
+        if (wasRunning && run.incarnation != endpointIncarnation_) {
             vanished.push_back(key);
         }
     }
-    const Reason reason = earlierDrained_ ? Reason::EndpointRestarted : Reason::EndpointCrashed;
-    if (reason == Reason::EndpointCrashed) {
+    if (!earlierDrained_) {
         reportCrash(vanished);
     }
     for (const RunKey &key : missing) {
         const Run &run = runs_.at(key);
         const bool ran = run.startedAt != NEVER;
+        const bool crashed = !earlierDrained_ && run.incarnation != endpointIncarnation_;
+        const Reason reason = crashed ? Reason::EndpointCrashed : Reason::EndpointRestarted;
         finish(key, ran ? repeat::RUN_LOST : repeat::RUN_NOT_STARTED, run.reason == Reason::None ? reason : run.reason, now);
     }
 }
@@ -357,7 +359,8 @@
     std::size_t suspects = 0;
     for (const RunKey &key : lost) {
         Run &run = runs_.at(key);
-        run.isCrashSuspect = run.startSentAt + SUSPECT_WINDOW >= newestStart;
+        // A start without an answer may not have been carried out before the crash.
+        run.isCrashSuspect = run.startedAt != NEVER && run.startSentAt + SUSPECT_WINDOW >= newestStart;
         suspects += run.isCrashSuspect ? 1 : 0;
         repeat::TaskCrash *crash = notice.add_crashes();
         crash->set_submission(run.name.submission);
--- a/tests/repeatable/repeatable_job_agent_test.cpp
+++ b/tests/repeatable/repeatable_job_agent_test.cpp
@@ -286,6 +286,25 @@
     CHECK(std::ranges::count(reports(), repeat::RUN_DONE, &repeat::RunReport::outcome) == 7);
 }
 
+TEST_CASE_FIXTURE(AgentFixture, "a run that the same incarnation no longer lists is lost, but not counted as a crash")
+{
+    sendOrder(1);
+    runFor(Millis(20));
+    EndpointCall call;
+    const EndpointNotice notice = api.endpoint.notice(now);
+    call.endpointId = notice.id;
+    call.fencingToken = notice.clockMs;
+    api.endpoint.stop(call, {"j1", 0, 0, 1}, now);
+    now += Millis(30);
+    constexpr std::uint64_t ALL_ENDS = 100;
+    api.endpoint.poll(call, ALL_ENDS, now);
+    runFor(Millis(200));
+    REQUIRE(reports().size() == 1);
+    CHECK(reports()[0].outcome() == repeat::RUN_LOST);
+    CHECK(static_cast<Reason>(reports()[0].reason()) == Reason::EndpointRestarted);
+    CHECK(std::ranges::none_of(recorder.sent, &repeat::Message::has_crash_notice));
+}
+
 TEST_CASE_FIXTURE(AgentFixture, "unanswered poll calls do not make running tasks count as lost")
 {
     sendOrder(1);
