Codechange: review case 2, tasks start on an executor without the label in their constraints

Tried: an executor that is cut off crashes, starts again under its id as another kind, and is reached again by its agent before its next heartbeat.

--- a/review/standin/executor.py
+++ b/review/standin/executor.py
@@ -162,12 +162,13 @@
 
     async def beat(self):
         while True:
+            due = time.monotonic() + HEARTBEAT_S
             try:
                 status = await asyncio.wait_for(self.beat_once(), 1)
                 self.note("heartbeat", acknowledged=200 <= status < 300, labels=self.settings["labels"], state=self.state)
             except (OSError, asyncio.TimeoutError, IndexError, ValueError):
                 self.note("heartbeat", acknowledged=False, labels=self.settings["labels"], state=self.state)
-            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.sleep(max(0, due - time.monotonic()))
 
     def drain(self):
         self.state = "draining"
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -125,12 +125,77 @@
         self.server.server_close()
 
 
+class Proxy:
+    """Passes connections on. While it is cut, nothing passes; a connection that was open or opened then stays silent for good."""
+
+    def __init__(self, listen, target):
+        self.target = target
+        self.cut = False
+        self.delay_s = 0
+        self.pairs = []
+        self.lock = threading.Lock()
+        self.server = socket.create_server(listen, backlog=128)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                caller, _ = self.server.accept()
+            except OSError:
+                return
+            pair = {"caller": caller, "callee": None, "silent": self.cut}
+            with self.lock:
+                self.pairs.append(pair)
+            if pair["silent"]:
+                continue
+            try:
+                pair["callee"] = socket.create_connection(self.target, timeout=2)
+                pair["callee"].settimeout(None)
+            except OSError:
+                self.end(pair)
+                continue
+            threading.Thread(target=self.pass_on, args=(pair, "caller", "callee"), daemon=True).start()
+            threading.Thread(target=self.pass_on, args=(pair, "callee", "caller"), daemon=True).start()
+
+    def pass_on(self, pair, source, sink):
+        try:
+            while data := pair[source].recv(65536):
+                if self.delay_s:
+                    time.sleep(self.delay_s)
+                if self.cut or pair["silent"]:
+                    pair["silent"] = True
+                    continue
+                pair[sink].sendall(data)
+        except OSError:
+            pass
+        if not self.cut and not pair["silent"]:
+            self.end(pair)
+
+    def end(self, pair):
+        for name in ("caller", "callee"):
+            if pair[name] is not None:
+                pair[name].close()
+
+    def set_cut(self, cut):
+        with self.lock:
+            if cut:
+                for pair in self.pairs:
+                    pair["silent"] = True
+            self.cut = cut
+
+    def close(self):
+        self.server.close()
+        with self.lock:
+            for pair in self.pairs:
+                self.end(pair)
+
+
 def free_net():
     """@return the beginning of loopback addresses on which the ports of a deployment are free."""
     for _ in range(50):
         net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         try:
-            for port in (9464, 18161, 18164, 18165, 18166, 18167, 18169, 17720):
+            for port in (9464, 18161, 18163, 18164, 18165, 18166, 18167, 18169, 17720):
                 for last in (11, 21, 99):
                     with socket.socket() as probe:
                         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -161,6 +226,7 @@
         self.entries = {f"entry{n}": f"{self.net}.{11 + n}" for n in range(entries)}
         self.sides = {f"side{n}": f"{self.net}.{21 + n}" for n in range(sides)}
         self.executors = {}
+        self.proxies = {}  # By executor: what lies between it and its agent, if the case asks for it.
         try:
             for name, ip in self.entries.items():
                 self.write_settings(name, ip, True)
@@ -175,6 +241,19 @@
             self.close()
             raise
 
+    def put_between(self, name):
+        """Puts proxies between an executor and its agent, both ways; to be called before the executor starts."""
+        settings = self.executors[name]
+        ip = settings["address"].rsplit(":", 1)[0]
+        self.proxies[name] = [Proxy((ip, 18164), (ip, 18165)), Proxy((ip, 18163), (ip, 18166))]
+        settings["announced"], settings["control"] = f"{ip}:18164", f"{ip}:18163"
+
+    def cut(self, name, cut):
+        """Cuts an executor off from its agent, or ends that."""
+        self.record.note(name, "cut" if cut else "cut_ends")
+        for proxy in self.proxies[name]:
+            proxy.set_cut(cut)
+
     def start_executors(self):
         for name in self.executors:
             self.start_executor(name)
@@ -313,6 +392,8 @@
                 pass
             process.kill()
             process.wait()
+        for proxy in [proxy for pair in self.proxies.values() for proxy in pair]:
+            proxy.close()
         self.store.close()
         if os.environ.get("KEEP_LOGS"):
             for log in self.work.glob("*.log"):
@@ -338,14 +419,17 @@
     return found
 
 
-def play(case, folder, **settings):
-    """Runs a case. @param case takes the world and returns whether the rule held, with what was seen."""
+def play(case, folder, prepare=None, **settings):
+    """Runs a case. @param case takes the world and returns whether the rule held, with what was seen. @param prepare is called before the
+    executors start."""
     try:
         world = World(folder, **settings)
     except Exception as error:
         print(f"could not run: {error}")
         return COULD_NOT_RUN
     try:
+        if prepare is not None:
+            prepare(world)
         world.start_executors()
         world.wait_ready()
         time.sleep(1)
