--- a/review/standin/executor.py
+++ b/review/standin/executor.py
@@ -3,7 +3,8 @@
 Usage: executor.py RECORD '{"id":..., "address":..., "announced":..., "control":..., "clock_ms":..., "born":..., "labels":[...], "cpu":...}'
 
 SIGKILL is its crash. Started again it runs nothing, has seen no fencing token, and its counts and its clock start anew.
-SIGUSR1 makes it drain. The spec of a task begins with its run time in ms.
+SIGUSR1 makes it drain: it says so at once, serves for drain_ms after the acknowledgement and "leave_after_s" more, says that it leaves, and ends;
+without an acknowledgement it ends 3 s later. The spec of a task begins with its run time in ms.
 """
 
 import asyncio
@@ -15,6 +16,8 @@
 HOLD_MAX_MS = 1000  # bounds.hold_max_ms
 STOP_S = 0.02  # bounds.stop_ms is 50
 HEARTBEAT_S = 1.5  # heartbeat_ms
+DRAIN_S = 2.0  # bounds.drain_ms
+UNACKNOWLEDGED_END_S = 3.0
 ENDS_A_CALL = 500
 READ_LIMIT = 1 << 20
 
@@ -33,6 +36,9 @@
         self.sequence = 0
         self.state = "ready"
         self.changed = asyncio.Event()
+        self.speaking = asyncio.Lock()
+        self.agent = None
+        self.leaving = None
 
     def note(self, event, **more):
         line = {"at": round(time.time(), 4), "who": self.settings["id"], "born": self.settings["born"], "event": event, **more}
@@ -149,29 +155,66 @@
                 "state": self.state, "cold_left_ms": 0, "capacity": {"cpu": self.settings["cpu"], "mem_mb": 65536, "gpu": 0},
                 "labels": self.settings["labels"], "clock_ms": self.clock(), "seq_no": self.sequence, "born": self.settings["born"]}
 
-    async def beat_once(self):
-        host, port = self.settings["control"].rsplit(":", 1)
-        data = json.dumps(self.heartbeat()).encode()
-        reader, writer = await asyncio.open_connection(host, int(port))
+    async def call(self, path, body):
+        """Calls the agent on the connection that is kept open, or on a new one. @return the status."""
+        if self.agent is None:
+            host, port = self.settings["control"].rsplit(":", 1)
+            self.agent = await asyncio.open_connection(host, int(port))
+        reader, writer = self.agent
         try:
-            writer.write(f"POST /medlarmill/Instances.Heartbeat/{self.settings['id']} HTTP/1.1\r\nHost: control\r\n"
-                         f"Content-Type: application/json\r\nConnection: close\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
-            return int((await reader.readline()).split()[1])
-        finally:
+            data = json.dumps(body).encode()
+            writer.write(f"POST {path} HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n"
+                         f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+            length = next((int(line.split(":")[1]) for line in head.split("\r\n") if line.startswith("content-length:")), 0)
+            await reader.readexactly(length)
+            return int(head.split(" ")[1])
+        except BaseException:
+            self.agent = None
             writer.close()
+            raise
+
+    async def tell(self, path, body):
+        """@return whether the agent acknowledged it within a second."""
+        async with self.speaking:
+            for _ in range(2):  # A kept connection may have been closed meanwhile.
+                kept = self.agent is not None
+                try:
+                    return 200 <= await asyncio.wait_for(self.call(path, body), 1) < 300
+                except asyncio.TimeoutError:
+                    return False
+                except (OSError, asyncio.IncompleteReadError, IndexError, ValueError):
+                    if not kept:
+                        return False
+            return False
+
+    async def beat_once(self):
+        state = self.state
+        acknowledged = await self.tell(f"/medlarmill/Instances.Heartbeat/{self.settings['id']}", self.heartbeat())
+        self.note("heartbeat", acknowledged=acknowledged, labels=self.settings["labels"], state=state)
+        return acknowledged
 
     async def beat(self):
         while True:
             due = time.monotonic() + HEARTBEAT_S
-            try:
-                status = await asyncio.wait_for(self.beat_once(), 1)
-                self.note("heartbeat", acknowledged=200 <= status < 300, labels=self.settings["labels"], state=self.state)
-            except (OSError, asyncio.TimeoutError, IndexError, ValueError):
-                self.note("heartbeat", acknowledged=False, labels=self.settings["labels"], state=self.state)
+            await self.beat_once()
             await asyncio.sleep(max(0, due - time.monotonic()))
 
-    def drain(self):
+    async def leave(self):
         self.state = "draining"
+        acknowledged = await self.beat_once()
+        await asyncio.sleep(DRAIN_S + self.settings.get("leave_after_s", 8) if acknowledged else UNACKNOWLEDGED_END_S)
+        acknowledged = await self.tell(f"/medlarmill/Instances.Deregister/{self.settings['id']}", {"born": self.settings["born"]})
+        self.note("deregister", acknowledged=acknowledged)
+        if not acknowledged:
+            await asyncio.sleep(UNACKNOWLEDGED_END_S)
+        for key in list(self.runs):
+            self.end(key, "stopped")
+        self.note("ended")
+        sys.exit(0)
+
+    def drain(self):
+        self.leaving = asyncio.get_running_loop().create_task(self.leave())
 
     async def main(self):
         self.note("up", clock_ms=self.clock(), labels=self.settings["labels"])
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -126,11 +126,13 @@
 
 
 class Proxy:
-    """Passes connections on. While it is cut, nothing passes; a connection that was open or opened then stays silent for good."""
+    """Passes connections on. While it is cut, nothing passes; a connection that was open or opened then stays silent for good. While one way
+    is lost, what goes to "caller" or to "callee" vanishes, and new connections, which need both ways, do not come about."""
 
     def __init__(self, listen, target):
         self.target = target
         self.cut = False
+        self.lost_to = None
         self.delay_s = 0
         self.pairs = []
         self.lock = threading.Lock()
@@ -143,7 +145,7 @@
                 caller, _ = self.server.accept()
             except OSError:
                 return
-            pair = {"caller": caller, "callee": None, "silent": self.cut}
+            pair = {"caller": caller, "callee": None, "silent": self.cut or self.lost_to is not None}
             with self.lock:
                 self.pairs.append(pair)
             if pair["silent"]:
@@ -162,6 +164,8 @@
             while data := pair[source].recv(65536):
                 if self.delay_s:
                     time.sleep(self.delay_s)
+                if sink == self.lost_to:
+                    continue
                 if self.cut or pair["silent"]:
                     pair["silent"] = True
                     continue
@@ -176,6 +180,14 @@
             if pair[name] is not None:
                 pair[name].close()
 
+    def lose(self, sink):
+        """Loses what goes to one side, or nothing any more. What was lost leaves its connection of no use."""
+        with self.lock:
+            if sink is None:
+                for pair in self.pairs:
+                    pair["silent"] = True
+            self.lost_to = sink
+
     def set_cut(self, cut):
         with self.lock:
             if cut:
@@ -209,7 +221,7 @@
 class World:
     """The programs, the store and the executors of one small deployment."""
 
-    def __init__(self, folder, entries=2, sides=3, cpu=24000, clock_ms=1, labels=None):
+    def __init__(self, folder, entries=2, sides=3, cpu=24000, clock_ms=1, labels=None, leave_after_s=8):
         self.folder = pathlib.Path(folder).resolve()
         self.record = Record(self.folder)
         self.scratch = tempfile.TemporaryDirectory(prefix="review-")
@@ -236,7 +248,7 @@
                 self.start(name)
                 self.executors[f"i-{number}"] = {"id": f"i-{number}", "address": f"{ip}:18165", "announced": f"{ip}:18165",
                                                  "control": f"{ip}:18166", "clock_ms": clock_ms, "born": 0, "cpu": cpu,
-                                                 "labels": (labels or {}).get(number, ["a", f"r1-{number}"]), "service": SERVICE}
+                                                 "labels": (labels or {}).get(number, ["a", f"r1-{number}"]), "service": SERVICE, "leave_after_s": leave_after_s}
         except BaseException:
             self.close()
             raise
@@ -254,6 +266,13 @@
         for proxy in self.proxies[name]:
             proxy.set_cut(cut)
 
+    def cut_one_way(self, name, cut):
+        """Loses all that the agent sends to an executor, calls as well as answers, or ends that."""
+        self.record.note(name, "cut_one_way" if cut else "cut_ends")
+        calls, notices = self.proxies[name]
+        calls.lose("callee" if cut else None)
+        notices.lose("caller" if cut else None)
+
     def start_executors(self):
         for name in self.executors:
             self.start_executor(name)
@@ -328,12 +347,12 @@
                     raise RuntimeError("the entries do not become ready")
                 time.sleep(0.05)
 
-    def post(self, ip, job, body):
+    def post(self, ip, job, body, deadline_ms):
         """One attempt. @return the status, or None without an answer."""
-        connection = http.client.HTTPConnection(ip, 18161, timeout=CLIENT_DEADLINE_MS / 1000)
+        connection = http.client.HTTPConnection(ip, 18161, timeout=deadline_ms / 1000)
         try:
             connection.request("POST", QUEUE + job, json.dumps(body),
-                               {"Host": HOST, "Content-Type": "application/json", "X-Deadline-Ms": str(CLIENT_DEADLINE_MS)})
+                               {"Host": HOST, "Content-Type": "application/json", "X-Deadline-Ms": str(deadline_ms)})
             response = connection.getresponse()
             return response.status, response.read().decode()
         except (OSError, http.client.HTTPException):
@@ -341,7 +360,7 @@
         finally:
             connection.close()
 
-    def submit(self, run_ms, tasks, job=None, entry=None, **group):
+    def submit(self, run_ms, tasks, job=None, entry=None, deadline_ms=CLIENT_DEADLINE_MS, wait_for=None, **group):
         """A client on a thread of its own: hands a job in; after no response, a broken connection, 502 or 504 again, at another node."""
         job = job or f"{random.getrandbits(64):016x}"
         body = {"spec": f"{run_ms} {job}", "best_effort": True,
@@ -350,11 +369,13 @@
         first = names.index(entry) if entry else random.randrange(len(names))
 
         def run():
+            if wait_for is not None:
+                wait_for.wait()
             for attempt in range(3):
                 name = names[(first + attempt) % len(names)]
                 sent = time.time()
                 self.record.note("client", "sent", job=job, to=name, **group)
-                answer = self.post(self.entries[name], job, body)
+                answer = self.post(self.entries[name], job, body, deadline_ms)
                 self.record.note("client", "answered", job=job, by=name, status=answer and answer[0], body=answer and answer[1].strip())
                 with self.lock:
                     self.results[job] = {"sent": self.results.get(job, {}).get("sent", sent), "status": answer and answer[0]}
