--- a/review/standin/executor.py
+++ b/review/standin/executor.py
@@ -3,12 +3,13 @@
 Usage: executor.py RECORD '{"id":..., "address":..., "announced":..., "control":..., "clock_ms":..., "born":..., "labels":[...], "cpu":...}'
 
 SIGKILL is its crash. Started again it runs nothing, has seen no fencing token, and its counts and its clock start anew.
-SIGUSR1 makes it drain: it says so at once, serves for drain_ms after the acknowledgement and "leave_after_s" more, says that it leaves, and ends;
+With "late_share" it leaves that share of the orders without an answer and carries them out 2 to 12 s later. SIGUSR1 makes it drain: it says so at once, serves for drain_ms after the acknowledgement and "leave_after_s" more, says that it leaves, and ends;
 without an acknowledgement it ends 3 s later. The spec of a task begins with its run time in ms.
 """
 
 import asyncio
 import json
+import random
 import signal
 import sys
 import time
@@ -18,6 +19,8 @@
 HEARTBEAT_S = 1.5  # heartbeat_ms
 DRAIN_S = 2.0  # bounds.drain_ms
 UNACKNOWLEDGED_END_S = 3.0
+ORDERS = ("/medlarmill/run-start", "/medlarmill/run-stop")
+LATE_S = (2, 12)  # When an order that got no answer is carried out.
 ENDS_A_CALL = 500
 READ_LIMIT = 1 << 20
 
@@ -39,6 +42,8 @@
         self.speaking = asyncio.Lock()
         self.agent = None
         self.leaving = None
+        self.state_changed = asyncio.Event()
+        self.told = None
 
     def note(self, event, **more):
         line = {"at": round(time.time(), 4), "who": self.settings["id"], "born": self.settings["born"], "event": event, **more}
@@ -132,6 +137,9 @@
             return await self.hold(request, reply)
         return 404, reply
 
+    def carry_out_late(self, path, headers, body):
+        asyncio.get_running_loop().create_task(self.answer(path, headers, body))
+
     async def serve(self, reader, writer):
         try:
             while True:
@@ -139,6 +147,9 @@
                 path = head[0].split(" ")[1]
                 headers = {name.strip().lower(): value.strip() for name, _, value in (line.partition(":") for line in head[1:] if line)}
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
+                if path in ORDERS and random.random() < self.settings.get("late_share", 0):
+                    asyncio.get_running_loop().call_later(random.uniform(*LATE_S), self.carry_out_late, path, headers, body)
+                    continue
                 status, answer = await self.answer(path, headers, body)
                 data = json.dumps(answer).encode()
                 writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nX-Instance-Id: {self.settings['id']}\r\n"
@@ -195,14 +206,21 @@
         return acknowledged
 
     async def beat(self):
+        """Sends heartbeats about every `heartbeat_ms`; one that is due is sent at once when the state changes."""
         while True:
             due = time.monotonic() + HEARTBEAT_S
-            await self.beat_once()
-            await asyncio.sleep(max(0, due - time.monotonic()))
+            self.told.set_result(await self.beat_once())
+            self.told = asyncio.get_running_loop().create_future()
+            self.state_changed.clear()
+            try:
+                await asyncio.wait_for(self.state_changed.wait(), max(0, due - time.monotonic()))
+            except asyncio.TimeoutError:
+                pass
 
     async def leave(self):
         self.state = "draining"
-        acknowledged = await self.beat_once()
+        self.state_changed.set()
+        acknowledged = await self.told
         await asyncio.sleep(DRAIN_S + self.settings.get("leave_after_s", 8) if acknowledged else UNACKNOWLEDGED_END_S)
         acknowledged = await self.tell(f"/medlarmill/Instances.Deregister/{self.settings['id']}", {"born": self.settings["born"]})
         self.note("deregister", acknowledged=acknowledged)
@@ -217,6 +235,7 @@
         self.leaving = asyncio.get_running_loop().create_task(self.leave())
 
     async def main(self):
+        self.told = asyncio.get_running_loop().create_future()
         self.note("up", clock_ms=self.clock(), labels=self.settings["labels"])
         asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, self.drain)
         host, port = self.settings["address"].rsplit(":", 1)
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -267,11 +267,9 @@
             proxy.set_cut(cut)
 
     def cut_one_way(self, name, cut):
-        """Loses all that the agent sends to an executor, calls as well as answers, or ends that."""
+        """Loses what the `control` address of its machine answers to an executor, or ends that."""
         self.record.note(name, "cut_one_way" if cut else "cut_ends")
-        calls, notices = self.proxies[name]
-        calls.lose("callee" if cut else None)
-        notices.lose("caller" if cut else None)
+        self.proxies[name][1].lose("caller" if cut else None)
 
     def start_executors(self):
         for name in self.executors:
