Codechange: review case 5, a job that was cancelled at another node goes on being started

Tried: the entry that took a job is frozen for 3.3 s, and the client's DELETE goes to another entry, which answers 410.

--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -345,6 +345,31 @@
                     raise RuntimeError("the entries do not become ready")
                 time.sleep(0.05)
 
+    def cancel(self, entry, job):
+        """@return the status of the answer to a DELETE, or None without one."""
+        connection = http.client.HTTPConnection(self.entries[entry], 18161, timeout=CLIENT_DEADLINE_MS / 1000)
+        self.record.note("client", "cancel_sent", job=job, to=entry)
+        try:
+            connection.request("DELETE", QUEUE + job, headers={"Host": HOST})
+            status = connection.getresponse().status
+        except (OSError, http.client.HTTPException):
+            status = None
+        finally:
+            connection.close()
+        self.record.note("client", "cancel_answered", job=job, by=entry, status=status)
+        return status
+
+    def is_ready(self, entry):
+        """What the platform asks once a second."""
+        connection = http.client.HTTPConnection(self.entries[entry], 18167, timeout=1)
+        try:
+            connection.request("GET", "/medlarmill/readyz")
+            return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
     def post(self, ip, job, body, deadline_ms):
         """One attempt. @return the status, or None without an answer."""
         connection = http.client.HTTPConnection(ip, 18161, timeout=deadline_ms / 1000)
@@ -358,11 +383,12 @@
         finally:
             connection.close()
 
-    def submit(self, run_ms, tasks, job=None, entry=None, deadline_ms=CLIENT_DEADLINE_MS, wait_for=None, **group):
+    def submit(self, run_ms, tasks, job=None, entry=None, deadline_ms=CLIENT_DEADLINE_MS, wait_for=None, steps=1, **group):
         """A client on a thread of its own: hands a job in; after no response, a broken connection, 502 or 504 again, at another node."""
         job = job or f"{random.getrandbits(64):016x}"
         body = {"spec": f"{run_ms} {job}", "best_effort": True,
-                "task_groups": [{"count": tasks, "cpu": 3000, "mem_mb": 64, "estimate_ms": run_ms, **group}]}
+                "task_groups": [{"count": tasks, "cpu": 3000, "mem_mb": 64, "estimate_ms": run_ms, **group,
+                                 **({"depends_on": [step - 1]} if step else {})} for step in range(steps)]}
         names = list(self.entries)
         first = names.index(entry) if entry else random.randrange(len(names))
 
