--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -448,19 +448,23 @@
 
 def overlaps(lines):
     """@return pairs of runs of one task that were at work at the same time, on executors that are up."""
+    crashes = {}
+    for line in lines:
+        if line["event"] == "killed":
+            crashes.setdefault(line["who"], []).append(line["at"])
+
+    def is_up(run, at):
+        """@return whether the incarnation that has a run has not crashed until then; what it wrote while it was killed counts for nothing."""
+        return not any(run["born"] / 1000 <= crash <= at for crash in crashes.get(run["who"], []))
+
     open_runs, found = {}, []
     for line in lines:
         if line["event"] == "start":
             others = open_runs.setdefault(line["task"], {})
-            for other in others.values():
-                found.append((other, line))
+            found += [(other, line) for other in others.values() if is_up(other, line["at"]) and is_up(line, line["at"])]
             others[(line["who"], line["born"], line["attempt"])] = line
         elif line["event"] == "end":
             open_runs.get(line["task"], {}).pop((line["who"], line["born"], line["attempt"]), None)
-        elif line["event"] == "killed" and line["who"].startswith("i-"):
-            for runs in open_runs.values():
-                for key in [key for key in runs if key[0] == line["who"]]:
-                    del runs[key]
     return found
 
 
