--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -471,6 +471,7 @@
 def play(case, folder, prepare=None, **settings):
     """Runs a case. @param case takes the world and returns whether the rule held, with what was seen. @param prepare is called before the
     executors start."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         world = World(folder, **settings)
     except Exception as error:
