--- a/src/core/reason_table.cpp
+++ b/src/core/reason_table.cpp
@@ -61,6 +61,9 @@
     {Reason::UnsupportedJob, "unsupported_job", "submit a repeatable job without the property that the log names"},
     {Reason::EndpointCrashed, "endpoint_crashed", "check why the endpoint ended; suspect=1 marks the runs that it had started last"},
     {Reason::CrashesEndpoints, "crashes_endpoints", "do not submit it again: correct the task, endpoints crash when they start it"},
+    {Reason::Evacuated, "evacuated", "none: the task is ordered in another availability zone"},
+    {Reason::AnswerUseless, "answer_useless", "submit again after retry_after_ms"},
+    {Reason::NoMemory, "no_memory", "submit again after retry_after_ms; raise the memory of the host"},
 };
 
 }
--- a/src/core/reason_type.h
+++ b/src/core/reason_type.h
@@ -63,6 +63,9 @@
     UnsupportedJob = 99, ///< The job asks for a property that is not served.
     EndpointCrashed = 100, ///< The endpoint ended without notice while it had the run.
     CrashesEndpoints = 101, ///< Endpoints crashed under several runs of a task of the job.
+    Evacuated = 102, ///< The availability zone of the endpoint is evacuated.
+    AnswerUseless = 103, ///< The answer would come too late to be of use to the caller.
+    NoMemory = 104, ///< The memory budget of the process is used up.
 };
 
 }
