Feature: Evacuation of availability zones at entries and agents

Cause: operators could not take a zone out of service; tasks went on starting there until its endpoints left one by one. Change: the entry's one list and watch of the operators' table also gives the rows `evacuate/ZONE`. Entries keep the set with the version of the table at the read and tell it to entries and agents on each new link and at each change; a state replaces only an older one, and one that began with a part of the table is not told. An agent in an evacuated zone refuses orders, hands back what waits, and sends no further or repeated start; what runs goes on. Agents send no start for an entry that has been silent for `entrySilence`, so one that resumes after a pause has been told before it starts anything. Placement and admission leave the zone out; with all zones evacuated, jobs are refused at once with a retry time.

--- a/src/entry_daemon/repeatable_job_entry_process.cpp
+++ b/src/entry_daemon/repeatable_job_entry_process.cpp
@@ -35,10 +35,18 @@
            *this)
     , core_(settings_.core, *this, callers, log)
     , stop_(settings_.grace)
-    , configWatcher_(context, table, settings_.config, log,
-                     [this](const std::string &text) {
-                         onDocument(text, "table");
-                     })
+    , zoneExchange_(*this, log,
+                    [this] {
+                        onZonesChanged();
+                    })
+    , configWatcher_(
+          context, table, settings_.config, log,
+          [this](const std::string &text) {
+              onDocument(text, "table");
+          },
+          [this](const SwitchRows &rows) {
+              zoneExchange_.onRead({rows.version, rows.isWhole, rows.present, rows.removed}, ProcessClock::now());
+          })
     , directory_(context, table, settings_.listen, log)
     , timer_(context)
 { }
@@ -109,6 +117,7 @@
 void RepeatableJobEntryProcess::resetLink(Incarnation peer)
 {
     agentPeers_.erase(peer);
+    zoneExchange_.onLinkDown(peer);
     hub_.resetLink(peer);
 }
 
@@ -128,6 +137,7 @@
 {
     if (hello.has_agent_hello()) {
         agentPeers_.insert(peer);
+        zoneExchange_.onLinkUp(peer);
         core_.onAgentUp(hello.agent_hello(), ProcessClock::now());
         sendEntryList(peer);
         pumpSoon();
@@ -139,6 +149,7 @@
     if (dialed) {
         hub_.sendTo(peer, makeHello());
     }
+    zoneExchange_.onLinkUp(peer);
     learnAddresses({hello.entry_hello().address()});
     repeat::Message crashes;
     *crashes.mutable_crash_notice() = core_.crashNotice();
@@ -155,6 +166,7 @@
 
 void RepeatableJobEntryProcess::onLinkDown(Incarnation peer, bool /*processGone*/)
 {
+    zoneExchange_.onLinkDown(peer);
     if (agentPeers_.erase(peer) > 0) {
         core_.onAgentDown(peer, ProcessClock::now());
     } else if (entryPeers_.erase(peer) > 0) {
@@ -176,6 +188,8 @@
         learnAddresses({message.entry_list().addresses().begin(), message.entry_list().addresses().end()});
     } else if (message.has_crash_notice()) {
         onCrashNotice(message.crash_notice());
+    } else if (message.has_zone_state()) {
+        zoneExchange_.onPeerState(message.zone_state(), ProcessClock::now());
     } else if (agentPeers_.contains(peer)) {
         core_.onAgentMessage(peer, message, ProcessClock::now());
     }
@@ -195,6 +209,29 @@
     }
 }
 
+void RepeatableJobEntryProcess::onZonesChanged()
+{
+    absl::btree_set<std::string> zones;
+    for (const auto &[zone, since] : zoneExchange_.zones().evacuatedSince()) {
+        zones.insert(zone);
+        log_.state(fmt::format("event=zone_runs_left zone={} orders={}", printableZone(zone), core_.placement().outstandingOrders(zone)));
+    }
+    core_.setEvacuatedZones(std::move(zones));
+    pumpSoon();
+}
+
+void RepeatableJobEntryProcess::writeZones(std::string &text) const
+{
+    const ZoneEvacuation &zones = zoneExchange_.zones();
+    writeGauge("entry_zones_evacuated", static_cast<double>(zones.evacuatedSince().size()), text);
+    writeGauge("entry_zones_version", static_cast<double>(zones.version()), text);
+    for (const auto &[zone, since] : zones.evacuatedSince()) {
+        const std::string label = fmt::format("{{zone=\"{}\"}}", printableZone(zone));
+        writeGauge("entry_zone_evacuated_ms" + label, static_cast<double>(toMillis(ProcessClock::now() - since)), text);
+        writeGauge("entry_zone_runs_left" + label, static_cast<double>(core_.placement().outstandingOrders(zone)), text);
+    }
+}
+
 void RepeatableJobEntryProcess::onFrameEnd()
 {
     pumpSoon();
@@ -410,6 +447,7 @@
     writeGauge("entry_config_version", static_cast<double>(callers_.configVersion()), text);
     writeGauge("entry_config_newest_known", static_cast<double>(configExchange_.newestKnown()), text);
     writeGauge("entry_config_behind_ms", static_cast<double>(toMillis(configExchange_.behindFor(ProcessClock::now()))), text);
+    writeZones(text);
     writeGauge("entry_agent_links", static_cast<double>(agentPeers_.size()), text);
     writeGauge("entry_peer_links", static_cast<double>(entryPeers_.size()), text);
     writeGauge("log_lines_dropped", static_cast<double>(log_.dropped()), text);
--- a/src/entry_daemon/repeatable_job_entry_process.h
+++ b/src/entry_daemon/repeatable_job_entry_process.h
@@ -8,6 +8,7 @@
 #include "net/message_hub.h"
 #include "repeatable/graceful_shutdown.h"
 #include "repeatable/repeatable_job_entry.h"
+#include "repeatable/zone_evacuation.h"
 #include "table/config_watcher.h"
 #include "table/entry_directory.h"
 
@@ -28,7 +29,7 @@
     RepeatableJobEntrySettings core; ///< Decisions.
     std::string listen; ///< Address for agents and other entries.
     std::vector<std::string> seeds; ///< Addresses of some entries; may be stale.
-    ConfigWatcher::Place config; ///< Where the configuration lies.
+    ConfigWatcher::Place config; ///< Where the configuration and the rows of evacuated zones lie.
     Duration grace = Millis(6'000); ///< Time from the stop signal to the end.
 };
 
@@ -100,6 +101,8 @@
     void announceTo(Incarnation peer);
     void askForConfig(Instant now);
     void onCrashNotice(const repeat::CrashNotice &notice);
+    void onZonesChanged();
+    void writeZones(std::string &text) const;
     void learnAddresses(const std::vector<std::string> &addresses);
     void dialEntries();
     void pingPeers(Instant now);
@@ -118,6 +121,7 @@
     MessageHub hub_;
     RepeatableJobEntry core_;
     GracefulShutdown stop_;
+    ZoneExchange zoneExchange_;
     ConfigWatcher configWatcher_;
     EntryDirectory directory_;
     boost::asio::steady_timer timer_;
--- a/src/repeatable/placement.cpp
+++ b/src/repeatable/placement.cpp
@@ -67,7 +67,8 @@
         needed.add(request.group->demand);
     }
     for (const auto &[incarnation, agent] : agents_) {
-        if (!agent.linkUp || !agent.accepting || agent.service != request.service || !needed.fitsInto(agent.freeCapacity())) {
+        if (!agent.linkUp || !agent.accepting || agent.service != request.service || isEvacuated(agent)
+            || !needed.fitsInto(agent.freeCapacity())) {
             continue;
         }
         const std::string &required = request.group->requiredLabel;
@@ -94,7 +95,7 @@
 {
     double sum = 0;
     for (const auto &[incarnation, agent] : agents_) {
-        if (!agent.linkUp || agent.service != service) {
+        if (!agent.linkUp || agent.service != service || isEvacuated(agent)) {
             continue;
         }
         sum += agent.accepting ? agent.freeCapacity().cpu : 0;
@@ -105,4 +106,28 @@
     return sum;
 }
 
+bool Placement::isWhollyEvacuated(std::string_view service) const
+{
+    bool hasEvacuated = false;
+    for (const auto &[incarnation, agent] : agents_) {
+        if (!agent.linkUp || agent.service != service) {
+            continue;
+        }
+        if (!isEvacuated(agent)) {
+            return false;
+        }
+        hasEvacuated = true;
+    }
+    return hasEvacuated;
+}
+
+std::size_t Placement::outstandingOrders(std::string_view zone) const
+{
+    std::size_t count = 0;
+    for (const auto &[incarnation, agent] : agents_) {
+        count += agent.zone == zone ? agent.outstandingOrders.size() : 0;
+    }
+    return count;
+}
+
 }
--- a/src/repeatable/placement.h
+++ b/src/repeatable/placement.h
@@ -6,6 +6,7 @@
 #include "wire/generated/repeat.pb.h"
 
 #include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -77,6 +78,24 @@
         return agents_;
     }
 
+    /** Leaves out the endpoints of evacuated availability zones from now on. @param zones names of the zones. */
+    void setEvacuatedZones(absl::btree_set<std::string> zones)
+    {
+        evacuatedZones_ = std::move(zones);
+    }
+
+    /** @param agent an agent. @return whether its availability zone is evacuated. */
+    bool isEvacuated(const AgentStatus &agent) const
+    {
+        return !evacuatedZones_.empty() && evacuatedZones_.contains(agent.zone);
+    }
+
+    /** @param service a service. @return whether its linked endpoints, at least one, are all in evacuated zones. */
+    bool isWhollyEvacuated(std::string_view service) const;
+
+    /** @param zone an availability zone. @return number of orders there for which no final report has arrived. */
+    std::size_t outstandingOrders(std::string_view zone) const;
+
     /** Stores a load report unless it is older than the last one. @param agent the sender. @param report the report. */
     void onLoadReport(Incarnation agent, const repeat::LoadReport &report);
 
@@ -92,6 +111,7 @@
 
     std::string zone_;
     absl::btree_map<Incarnation, AgentStatus> agents_;
+    absl::btree_set<std::string> evacuatedZones_;
 };
 
 }
--- a/src/repeatable/repeatable_job_agent.cpp
+++ b/src/repeatable/repeatable_job_agent.cpp
@@ -123,6 +123,8 @@
     } else if (message.has_entry_ping()) {
         recordStamp(message.entry_ping().stamp());
         link.reportInterval = Millis(message.entry_ping().report_interval_ms());
+    } else if (message.has_zone_state()) {
+        onZoneState(message.zone_state(), now);
     }
     reportLoad(now);
 }
@@ -150,8 +152,8 @@
 
 bool RepeatableJobAgent::isAccepting(Instant now) const
 {
-    return notice_.has_value() && !notice_->draining && !notice_->terminated && !draining_ && responsive_ && !health_.isCircuitOpen(now)
-        && now >= probationUntil_;
+    return notice_.has_value() && !notice_->draining && !notice_->terminated && !draining_ && !isEvacuated() && responsive_
+        && !health_.isCircuitOpen(now) && now >= probationUntil_;
 }
 
 Resources RepeatableJobAgent::freeResources() const
@@ -170,6 +172,9 @@
     if (!notice_.has_value() || notice_->terminated) {
         return Reason::EndpointAbsent;
     }
+    if (isEvacuated()) {
+        return Reason::Evacuated;
+    }
     if (notice_->draining || draining_) {
         return Reason::Leaving;
     }
@@ -230,7 +235,7 @@
 
 void RepeatableJobAgent::startQueued(Instant now)
 {
-    if (!notice_.has_value() || !responsive_ || hasForeignRuns_ || now < startsBlockedUntil_) {
+    if (!notice_.has_value() || !responsive_ || hasForeignRuns_ || isEvacuated() || now < startsBlockedUntil_) {
         return;
     }
     auto next = queue_.begin();
@@ -239,7 +244,7 @@
         Run &run = runs_.at(key);
         Resources available = notice_->capacity;
         available.subtract(used_);
-        if (!run.demand.fitsInto(available)) {
+        if (!run.demand.fitsInto(available) || isEntrySilent(key.first, now)) {
             ++next;
             continue;
         }
@@ -356,7 +361,8 @@
             break;
         }
         // Repeating a start is idempotent: the endpoint accepts it again if it was carried out.
-        if (run.startsSent < START_TIMEOUTS.size() && !run.stopRequested && run.deadline > now_) {
+        if (run.startsSent < START_TIMEOUTS.size() && !run.stopRequested && run.deadline > now_ && !isEvacuated()
+            && !isEntrySilent(key.first, now_)) {
             start(key, run, now_);
         } else {
             stop(key, run, Reason::NoAnswer, now_);
@@ -444,14 +450,14 @@
     endpoint_.stop(call, name, [](const EndpointAnswer &) {});
 }
 
-void RepeatableJobAgent::handBackQueued()
+void RepeatableJobAgent::handBackQueued(Reason reason)
 {
     std::vector<RunKey> queued;
     for (const auto &[rank, key] : queue_) {
         queued.push_back(key);
     }
     for (const RunKey &key : queued) {
-        finish(key, repeat::RUN_NOT_STARTED, Reason::NoRoom, now_);
+        finish(key, repeat::RUN_NOT_STARTED, reason, now_);
     }
 }
 
@@ -503,8 +509,7 @@
         if (run.state == RunState::Stopping) {
             continue;
         }
-        const bool entrySilent = entries_[key.first].newestStampAt + settings_.entrySilence < now;
-        if (entrySilent || run.deadline <= now) {
+        if (isEntrySilent(key.first, now) || run.deadline <= now) {
             orphans.push_back(key);
         }
     }
--- a/src/repeatable/repeatable_job_agent.h
+++ b/src/repeatable/repeatable_job_agent.h
@@ -8,6 +8,7 @@
 #include "repeatable/endpoint_health.h"
 #include "repeatable/event_log.h"
 #include "repeatable/repeatable_job_output.h"
+#include "repeatable/zone_evacuation.h"
 
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
@@ -66,6 +67,18 @@
     /** Refuses orders from now on; accepted runs continue. @param now current time. */
     void startDraining(Instant now);
 
+    /** @return the evacuated availability zones. */
+    const ZoneEvacuation &zones() const
+    {
+        return zones_;
+    }
+
+    /** @return whether the availability zone of this agent is evacuated: nothing is started, and what runs goes on. */
+    bool isEvacuated() const
+    {
+        return zones_.isEvacuated(settings_.zone);
+    }
+
     /** @return number of runs that are not over. */
     std::size_t unfinishedRuns() const
     {
@@ -158,7 +171,9 @@
     void finishRefused(const RunKey &key, Run &run, Reason reason);
     void stop(const RunKey &key, Run &run, Reason reason, Instant now);
     void sendStop(const RunKey &key, Run &run, Instant now);
-    void handBackQueued();
+    void handBackQueued(Reason reason);
+    void onZoneState(const repeat::ZoneState &state, Instant now);
+    bool isEntrySilent(Incarnation entry, Instant now) const;
     void stopUnknownRun(const RunName &name, Instant now);
     void poll(Instant now);
     void pollImmediately(Instant now);
@@ -215,6 +230,7 @@
     bool hasForeignRuns_ = false; ///< The endpoint still has runs of an earlier agent process, which are being stopped and take room.
     bool earlierDrained_ = false; ///< The earlier incarnation of the endpoint was draining, so its end was planned.
     bool draining_ = false;
+    ZoneEvacuation zones_;
     Instant now_; ///< Time of the event being handled; also set by callbacks of the endpoint.
     Counters counters_;
     Histograms histograms_;
--- a/src/repeatable/repeatable_job_agent_endpoint.cpp
+++ b/src/repeatable/repeatable_job_agent_endpoint.cpp
@@ -73,7 +73,7 @@
         log_.state(fmt::format("event=endpoint_shrunk endpoint={} cpu={} mem_mb={} gpu={} queued={}", notice.id, notice.capacity.cpu,
                                notice.capacity.memMb, notice.capacity.gpu, queue_.size()));
         counters_.add("agent_endpoint_shrunk");
-        handBackQueued();
+        handBackQueued(Reason::NoRoom);
     }
     updateEndpointClock(notice.clockMs, now);
     markDirty();
--- a/src/repeatable/repeatable_job_entry.cpp
+++ b/src/repeatable/repeatable_job_entry.cpp
@@ -135,6 +135,10 @@
     if (jobs_.size() >= settings_.maxJobs) {
         return Reason::JobTableFull;
     }
+    if (isCapacityKnown(now) && placement_.isWhollyEvacuated(job.policy.service)) {
+        *retryAfter = MAX_RETRY_AFTER;
+        return Reason::Evacuated;
+    }
     const Duration criticalPath = criticalPathTime(job);
     const Duration objective = responseTimeObjective(job, criticalPath);
     // While the capacity is not known, as after a pause of this process, jobs wait for the links; isIsolated() limits that.
--- a/src/repeatable/repeatable_job_entry.h
+++ b/src/repeatable/repeatable_job_entry.h
@@ -79,6 +79,12 @@
     /** @return the crashes with suspects that are remembered, for an entry that has just been linked. */
     repeat::CrashNotice crashNotice() const;
 
+    /** Orders nothing in evacuated availability zones from now on, nor counts their capacity. @param zones names of the zones. */
+    void setEvacuatedZones(absl::btree_set<std::string> zones)
+    {
+        placement_.setEvacuatedZones(std::move(zones));
+    }
+
     /** Orders waiting tasks for which there is free capacity; to be called after each batch of events. @param now current time. */
     void dispatchTasks(Instant now);
 
--- a/src/table/config_watcher.cpp
+++ b/src/table/config_watcher.cpp
@@ -1,7 +1,8 @@
-/** @file config_watcher.cpp Follows the operators' configuration in a shared table. */
+/** @file config_watcher.cpp Follows the operators' rows in a shared table. */
 
 #include "table/config_watcher.h"
 
+#include <absl/container/btree_map.h>
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -17,11 +18,13 @@
 
 }
 
-ConfigWatcher::ConfigWatcher(boost::asio::io_context &context, SharedTable &table, Place place, EventLog &log, OnDocument onDocument)
+ConfigWatcher::ConfigWatcher(boost::asio::io_context &context, SharedTable &table, Place place, EventLog &log, OnDocument onDocument,
+                             OnSwitches onSwitches)
     : table_(table)
     , place_(std::move(place))
     , log_(log)
     , onDocument_(std::move(onDocument))
+    , onSwitches_(std::move(onSwitches))
     , timer_(context)
 { }
 
@@ -37,7 +40,7 @@
             onFailure(rows.status());
             return;
         }
-        take(*rows);
+        take(*rows, true);
         watch();
     });
 }
@@ -54,12 +57,12 @@
             onFailure(rows.status());
             return;
         }
-        take(*rows);
+        take(*rows, false);
         watch();
     });
 }
 
-void ConfigWatcher::take(const SharedRows &rows)
+void ConfigWatcher::take(const SharedRows &rows, bool isList)
 {
     if (failures_ > 0) {
         log_.info(fmt::format("event=table_regained failures={} version={}", failures_, rows.version));
@@ -79,6 +82,30 @@
         takenVersion_ = newest->version;
         onDocument_(newest->value);
     }
+    takeSwitches(rows, isList);
+}
+
+void ConfigWatcher::takeSwitches(const SharedRows &rows, bool isList)
+{
+    if (place_.switchPrefix.empty()) {
+        return;
+    }
+    // A list that the service cut off does not show that a row is gone, so it counts as a set of changes.
+    SwitchRows switches{rows.version, isList && !rows.isPartial, {}, {}};
+    absl::btree_map<std::string, const SharedRow *> newest;
+    for (const SharedRow &row : rows.rows) {
+        if (!row.key.starts_with(place_.switchPrefix) || row.key.size() == place_.switchPrefix.size()) {
+            continue;
+        }
+        const SharedRow *&known = newest[row.key.substr(place_.switchPrefix.size())];
+        if (known == nullptr || row.version >= known->version) {
+            known = &row;
+        }
+    }
+    for (const auto &[name, row] : newest) {
+        (row->removed ? switches.removed : switches.present).insert(name);
+    }
+    onSwitches_(switches);
 }
 
 void ConfigWatcher::onFailure(const absl::Status &status)
--- a/src/table/shared_table.h
+++ b/src/table/shared_table.h
@@ -28,6 +28,7 @@
     std::vector<SharedRow> rows; ///< By key, or by version for changes.
     std::uint64_t version = 0; ///< Newest version of the table service when they were read.
     std::uint64_t clockMs = 0; ///< Steady clock of the table service, in ms.
+    bool isPartial = false; ///< The service has more rows than it sent; what is missing here may exist.
 };
 
 /** Asynchronous access to the platform's tables. All callbacks run on the loop of the process. */
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -278,18 +278,23 @@
     AnsweredTable table;
     BoundedLog log("test", 0);
     std::vector<std::string> documents;
-    ConfigWatcher watcher(context, table, {"op", "config"}, log, [&documents](const std::string &text) {
-        documents.push_back(text);
-    });
+    ConfigWatcher watcher(
+        context, table, {"op", "config", ""}, log,
+        [&documents](const std::string &text) {
+            documents.push_back(text);
+        },
+        [](const SwitchRows &) {
+            FAIL("no prefix is watched");
+        });
     watcher.start();
     const SharedRow first{"config", "one", 5, false};
-    table.answer(SharedRows{{first}, 7, 0});
-    table.answer(SharedRows{{{"config", "two", 8, false}, {"config", "three", 9, false}, {"other", "x", 10, false}}, 10, 0});
+    table.answer(SharedRows{{first}, 7, 0, false});
+    table.answer(SharedRows{{{"config", "two", 8, false}, {"config", "three", 9, false}, {"other", "x", 10, false}}, 10, 0, false});
     CHECK(documents == std::vector<std::string>{"one", "three"});
     table.answer(absl::UnavailableError("silent"));
     context.run_for(std::chrono::seconds(2));
     REQUIRE(table.reads.size() == 1);
-    table.answer(SharedRows{{{"config", "three", 9, false}}, 12, 0});
+    table.answer(SharedRows{{{"config", "three", 9, false}}, 12, 0, false});
     CHECK(documents.size() == 2);
     CHECK(table.watchedSince == 12);
 }
@@ -300,4 +305,50 @@
                                  R"("has_more":true,"row_version":20})");
     REQUIRE(part.ok());
     CHECK(part->version == 6);
+    CHECK(part->isPartial);
+    CHECK_FALSE(decodeRows(R"({"rows":[],"has_more":false,"row_version":20})")->isPartial);
+}
+
+TEST_CASE("rows with the watched prefix come from the same reads as the configuration; a part of the table is no whole set")
+{
+    boost::asio::io_context context;
+    AnsweredTable table;
+    BoundedLog log("test", 0);
+    std::vector<std::string> documents;
+    std::vector<SwitchRows> reads;
+    ConfigWatcher watcher(
+        context, table, {OPERATOR_TABLE, CONFIG_KEY, EVACUATION_PREFIX}, log,
+        [&documents](const std::string &text) {
+            documents.push_back(text);
+        },
+        [&reads](const SwitchRows &rows) {
+            reads.push_back(rows);
+        });
+    using Names = absl::btree_set<std::string>;
+    watcher.start();
+    table.answer(SharedRows{{{"config", "one", 5, false}, {"evacuate/a", "{}", 6, false}, {"evacuate/", "{}", 6, false}}, 9, 0, false});
+    REQUIRE(reads.size() == 1);
+    CHECK(reads[0].isWhole);
+    CHECK(reads[0].version == 9);
+    CHECK(reads[0].present == Names{"a"});
+    CHECK(documents.size() == 1);
+    CHECK(table.reads.size() == 1);
+    // Written, removed and written again within one answer: the last change of each row counts.
+    table.answer(SharedRows{{{"evacuate/b", "{}", 10, false}, {"evacuate/a", "", 11, true}, {"evacuate/b", "", 12, true}}, 14, 0, false});
+    CHECK_FALSE(reads[1].isWhole);
+    CHECK(reads[1].present.empty());
+    CHECK(reads[1].removed == Names{"a", "b"});
+    CHECK(table.watchedSince == 14);
+    // Nothing changed: the version rises all the same.
+    table.answer(SharedRows{{}, 20, 0, false});
+    CHECK(reads[2].version == 20);
+    // The history is gone: the next list gives the set.
+    table.answer(absl::OutOfRangeError("gone"));
+    table.answer(SharedRows{{{"evacuate/c", "{}", 25, false}}, 30, 0, false});
+    CHECK(reads[3].isWhole);
+    CHECK(reads[3].present == Names{"c"});
+    table.answer(absl::OutOfRangeError("gone"));
+    table.answer(SharedRows{{{"evacuate/d", "{}", 31, false}}, 31, 0, true});
+    CHECK_FALSE(reads[4].isWhole);
+    CHECK(reads[4].present == Names{"d"});
 }
