Codechange: The programs are tested with an availability zone evacuated and returned

Cause: the tests without a network do not show that the rows of the table reach agents through the real programs. Change: the stand-in's table removes rows with a feed entry and counts starts by endpoint; entries and agents are in three zones. A zone is evacuated under load while the table turns one entry away. The bound is the required 5 s, so that the verdict does not hang on speed.

--- a/tests/platform_faults.py
+++ b/tests/platform_faults.py
@@ -12,6 +12,8 @@
 
 from platform_system import ENTRIES, Callers, System, check, config, judge, metric, submit
 
+EVACUATE_S = 5  # No start in an evacuated zone later than this after the table acknowledged it.
+
 
 def quiet(system):
     callers = Callers(system, 1)
@@ -144,6 +146,35 @@
     return good & check(again == [answer] * ENTRIES and crashes == 2, f"it is not started again through any entry: {again}, {crashes}")
 
 
+def zone_evacuated(system):
+    """A zone is evacuated under load, while the table turns one entry away: the others serve, and work returns with the zone."""
+    def newest(name):
+        return max(system.oracle.starts_at.get(name, [0]))
+
+    callers = Callers(system, 7)
+    loader = threading.Thread(target=callers.load, args=(16, 20))
+    loader.start()
+    time.sleep(1.5)
+    good = check(newest("i-1") > time.monotonic() - 1.5, "evacuation: the zone has work before")
+    system.table.turned_away.add("127.0.0.11")
+    began = time.monotonic()
+    system.table.put("op", "evacuate/b", b"{}")
+    system.table.put("op", "evacuate/no such zone", b"{}")
+    time.sleep(8)
+    late = [at - began for at in system.oracle.starts_at["i-1"] if at > began + EVACUATE_S]
+    good &= check(not late, f"evacuation: no start in the zone {EVACUATE_S} s after it; the newest {newest('i-1') - began:.3f} s after")
+    known = [metric(number, "entry_zones_evacuated") for number in range(ENTRIES)]
+    good &= check(known == [2] * ENTRIES, f"evacuation: every entry knows it, also the one without the table {known}")
+    returned = time.monotonic()
+    for zone in ("b", "no such zone"):
+        system.table.remove("op", f"evacuate/{zone}")
+    loader.join()
+    system.table.turned_away.clear()
+    first = [at - returned for at in system.oracle.starts_at["i-1"] if at > returned]
+    good &= check(first, f"evacuation: work returns with the zone, first after {min(first, default=0):.3f} s, {len(first)} starts")
+    return good & judge("evacuation", system, callers, 0)
+
+
 def planned_stop(system):
     """A stop with connections in use loses no answer, and the process ends by itself with code 0."""
     callers = Callers(system, 6)
@@ -174,7 +205,7 @@
     try:
         system.wait_ready()
         time.sleep(1)
-        for test in (quiet, bad_input, configuration_changes, configuration_series, table_connections_silent, crashing_task, entry_killed, entries_paused, agent_paused_and_killed, planned_stop,
+        for test in (quiet, bad_input, configuration_changes, configuration_series, table_connections_silent, crashing_task, entry_killed, entries_paused, agent_paused_and_killed, zone_evacuated, planned_stop,
                      all_killed_without_table):
             good = test(system)
             passed, failed = passed + bool(good), failed + (not good)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -21,6 +21,7 @@
         self.lock = threading.Lock()
         self.alive = {}
         self.starts = {}
+        self.starts_at = {}  # Times of all starts by endpoint.
         self.done = {}
         self.crashes = {}  # Endpoints that each job crashed.
         self.violations = []
@@ -32,6 +33,7 @@
             self.alive.setdefault(task, []).append(endpoint)
             job = task.split(".")[0]
             self.starts.setdefault(job, []).append(time.monotonic())
+            self.starts_at.setdefault(endpoint, []).append(time.monotonic())
 
     def end(self, endpoint, task, how):
         with self.lock:
@@ -126,6 +128,14 @@
             self.history.append(row)
             self.changed.notify_all()
 
+    def remove(self, table, key):
+        with self.changed:
+            if self.rows.pop((table, key), None) is None:
+                return
+            self.version += 1
+            self.history.append({"table": table, "part": "", "key": key, "deleted": True, "row_version": self.version})
+            self.changed.notify_all()
+
     def view(self, rows):
         return {"rows": rows, "has_more": False, "row_version": self.version, "now_ms": int(time.monotonic() * 1000)}
 
@@ -143,9 +153,8 @@
         if path.endswith("rows-feed"):
             return self.feed(query)
         request = json.loads(body)
-        with self.changed:
-            for row in request["remove"]:
-                self.rows.pop((row["table"], row["key"]), None)
+        for row in request["remove"]:
+            self.remove(row["table"], row["key"])
         for row in request["puts"]:
             self.put(row["table"], row["key"], base64.b64decode(row["value"]))
         return 200, self.view([])
--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -13,6 +13,7 @@
 
 ENTRIES = 3
 AGENTS = 4
+ZONES = "abc"
 CPU = 15000
 RESUBMIT_S = 1.3
 PATIENCE_MS = 2000
@@ -48,7 +49,7 @@
 
     def start_all(self, through):
         for number in range(ENTRIES):
-            self.write_settings(f"entry{number}", f"127.0.0.{11 + number}", True)
+            self.write_settings(f"entry{number}", f"127.0.0.{11 + number}", True, ZONES[number % len(ZONES)])
             self.start(f"entry{number}")
         for number in range(AGENTS):
             ip = f"127.0.0.{21 + number}"
@@ -56,12 +57,12 @@
             if through is not None:
                 self.proxies.append(through((ip, 18164), (ip, 18165)))
                 self.endpoints[ip].address = f"{ip}:18164"
-            self.write_settings(f"agent{number}", ip, False)
+            self.write_settings(f"agent{number}", ip, False, ZONES[number % len(ZONES)])
             self.start(f"agent{number}")
             threading.Thread(target=self.announce, args=(ip, self.endpoints[ip]), daemon=True).start()
 
-    def write_settings(self, name, ip, is_entry):
-        lines = [f"node_name={name}", f"ip={ip}", "zone=a", f"listen_addrs.control={ip}:18166", "port_range=17720,17735",
+    def write_settings(self, name, ip, is_entry, zone="a"):
+        lines = [f"node_name={name}", f"ip={ip}", f"zone={zone}", f"listen_addrs.control={ip}:18166", "port_range=17720,17735",
                  "seeds=127.0.0.11:18166", f"platform.address={TABLE[0]}:{TABLE[1]}", "bounds.hold_max_ms=1000", "bounds.grace_s=6",
                  "bounds.retransmit_ms=1300", "bounds.stop_ms=50"]
         lines += [f"listen_addrs.front={ip}:18161", f"listen_addrs.readiness_addr={ip}:18167"] if is_entry else [f"app={ip}:18165", "service=desk"]
