Fix: A start goes only to the process of the endpoint that it was meant for

Cause: An endpoint may restart under its id and address with other labels and capacity. A list that showed the newer process began a new incarnation with the announcement of the earlier one, so until the next heartbeat (1,500 ms) tasks were started by labels that no longer held. A start call names the endpoint's id only, so it was carried out by any process at the address.

Change: Load reports and orders carry the start time of the endpoint process; the agent refuses an order that names another one (endpoint_restarted) and starts nothing, and returns what waits, from the first sign of a newer process until its announcement. Starts travel only on connections on which a poll has named the process; one poll for each new connection, no more connections than before. An unanswered start that was sent to an earlier process is reported as lost, not as not started, and is not repeated.

--- a/src/http/channel.cpp
+++ b/src/http/channel.cpp
@@ -40,10 +40,13 @@
     {
         request_ = std::move(item.request);
         request_.prepare_payload();
+        check_ = std::move(item.check);
         done_ = std::move(item.done);
         timeout_ = item.timeout;
         if (open_) {
-            write(true);
+            server_ = server;
+            connectTimeout_ = connectTimeout;
+            proceed(true);
             return;
         }
         connect(server, connectTimeout);
@@ -62,6 +65,7 @@
     {
         server_ = server;
         connectTimeout_ = connectTimeout;
+        process_ = 0;
         stream_.expires_after(std::min(connectTimeout, timeout_));
         stream_.async_connect(server, [self = shared_from_this()](beast::error_code error) {
             if (error) {
@@ -72,25 +76,61 @@
             beast::error_code ignored;
             self->stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
             self->open_ = true;
-            self->write(false);
+            self->proceed(false);
         });
     }
 
     /** @param reused the connection was used before: the server may have closed it meanwhile, and has then not seen the request. */
-    void write(bool reused)
+    void proceed(bool reused)
     {
-        if (reused && isClosedByServer()) {
+        const bool isOther = check_.has_value() && process_ != 0 && process_ != check_->expected;
+        if (reused && (isOther || isClosedByServer())) {
             drop();
             connect(server_, connectTimeout_);
             return;
         }
         stream_.expires_after(timeout_);
-        http::async_write(stream_, request_, [self = shared_from_this()](beast::error_code error, std::size_t) {
+        if (check_.has_value() && process_ == 0) {
+            check_->request.prepare_payload();
+            exchange(check_->request, [](Connection &self) {
+                self.onChecked();
+            });
+            return;
+        }
+        write();
+    }
+
+    void write()
+    {
+        isSent_ = true;
+        exchange(request_, [](Connection &self) {
+            self.finish(ChannelFailure::None);
+        });
+    }
+
+    void onChecked()
+    {
+        process_ = check_->numberOf(parser_->get());
+        if (process_ == 0) {
+            finish(ChannelFailure::CheckRefused);
+        } else if (process_ != check_->expected) {
+            finish(ChannelFailure::OtherProcess);
+        } else if (!open_) {
+            finish(ChannelFailure::Unchecked);
+        } else {
+            write();
+        }
+    }
+
+    /** Sends a request and reads its answer. @param request the request; kept until the answer. @param done called after the answer. */
+    void exchange(HttpRequest &request, void (*done)(Connection &))
+    {
+        http::async_write(stream_, request, [self = shared_from_this(), done](beast::error_code error, std::size_t) {
             if (error) {
                 self->onError(error);
                 return;
             }
-            self->read();
+            self->read(done);
         });
     }
 
@@ -103,20 +143,22 @@
         return error != boost::asio::error::would_block || bytes > 0;
     }
 
-    void read()
+    void read(void (*done)(Connection &))
     {
         parser_.emplace();
         parser_->body_limit(MAX_ANSWER_BYTES);
-        http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](beast::error_code error, std::size_t) {
+        http::async_read(stream_, buffer_, *parser_, [self = shared_from_this(), done](beast::error_code error, std::size_t) {
             if (error) {
                 self->onError(error);
                 return;
             }
-            self->stream_.expires_never();
+            if (self->isSent_) {
+                self->stream_.expires_never();
+            }
             if (!self->parser_->get().keep_alive()) {
                 self->drop();
             }
-            self->finish(ChannelFailure::None);
+            done(*self);
         });
     }
 
@@ -127,12 +169,17 @@
         if (const auto owner = owner_.lock(); owner != nullptr && timedOut) {
             owner->dropIdle(); // What made this connection silent may have made the others silent too.
         }
+        if (!isSent_) {
+            finish(ChannelFailure::Unchecked);
+            return;
+        }
         finish(timedOut ? ChannelFailure::TimedOut : ChannelFailure::Broken);
     }
 
     void drop()
     {
         open_ = false;
+        process_ = 0;
         beast::error_code ignored;
         stream_.socket().close(ignored);
         buffer_.clear();
@@ -145,7 +192,9 @@
         }
         ChannelResult result;
         result.failure = failure;
-        if (failure == ChannelFailure::None) {
+        stream_.expires_never();
+        isSent_ = false;
+        if (failure == ChannelFailure::None || failure == ChannelFailure::CheckRefused) {
             result.response = parser_->release();
         }
         const Done done = std::exchange(done_, nullptr);
@@ -161,6 +210,9 @@
     Duration connectTimeout_{0};
     Duration timeout_{0};
     HttpRequest request_;
+    std::optional<ProcessCheck> check_; ///< The process that may get the request.
+    std::uint64_t process_ = 0; ///< Number of the process at the other end; 0 until a check has given it.
+    bool isSent_ = false; ///< Sending the request, rather than the check, has begun.
     std::optional<http::response_parser<http::string_body>> parser_;
     beast::flat_buffer buffer_;
     Done done_;
@@ -173,7 +225,7 @@
     , settings_(settings)
 { }
 
-void HttpChannel::call(HttpRequest request, Duration timeout, Done done)
+void HttpChannel::call(HttpRequest request, Duration timeout, Done done, std::optional<ProcessCheck> check)
 {
     if (waiting_.size() >= settings_.maxWaiting) {
         boost::asio::post(context_, [done = std::move(done)] {
@@ -183,7 +235,7 @@
         });
         return;
     }
-    waiting_.push_back({std::move(request), timeout, std::move(done)});
+    waiting_.push_back({std::move(request), timeout, std::move(done), std::move(check)});
     next();
 }
 
--- a/src/http/channel.h
+++ b/src/http/channel.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace medlarmill
@@ -29,6 +30,9 @@
     Unreachable, ///< The connection could not be opened: not sent.
     Broken, ///< The connection broke after the request was sent.
     TimedOut, ///< The answer did not come in time.
+    OtherProcess, ///< Another server process than the expected one answered the check of a new connection: not sent.
+    CheckRefused, ///< The check of a new connection was not answered as expected: not sent; the response is that to the check.
+    Unchecked, ///< The check of a new connection got no answer: not sent.
 };
 
 /** Result of a request on a channel. */
@@ -38,6 +42,14 @@
     HttpResponse response; ///< The answer.
 };
 
+/** Binds a request to one process of the server. A connection does not outlive the process, so one check for each connection is enough. */
+struct ProcessCheck
+{
+    std::uint64_t expected = 0; ///< Number of the process.
+    HttpRequest request; ///< Asks for the number; sent on connections on which it is not known.
+    std::function<std::uint64_t(const HttpResponse &)> numberOf; ///< Reads the number from the answer; 0 when there is none.
+};
+
 /** Connections to one server. Lives on one loop; a connection whose answer did not come is closed. */
 class HttpChannel : public std::enable_shared_from_this<HttpChannel>
 {
@@ -48,8 +60,8 @@
     HttpChannel(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint server, HttpChannelSettings settings);
 
     /** Makes a request. @param request the request. @param timeout time for the answer, the wait for a connection included. @param done
-     * gets the result. */
-    void call(HttpRequest request, Duration timeout, Done done);
+     * gets the result. @param check the process that may get the request; nullopt for any. */
+    void call(HttpRequest request, Duration timeout, Done done, std::optional<ProcessCheck> check = std::nullopt);
 
     /** Closes all connections; requests under way end as broken. */
     void close();
@@ -72,6 +84,7 @@
         HttpRequest request; ///< The request.
         Duration timeout{0}; ///< Time for the answer.
         Done done; ///< Gets the result.
+        std::optional<ProcessCheck> check; ///< The process that may get it.
     };
 
     void next();
--- a/src/repeatable/endpoint_api.h
+++ b/src/repeatable/endpoint_api.h
@@ -20,6 +20,7 @@
     Fenced, ///< Refused: another agent has used a higher fencing token; nothing was done.
     Unhealthy, ///< Refused: the endpoint is unhealthy; nothing was done.
     Malformed, ///< Refused: malformed call; nothing was done.
+    OtherProcess, ///< The process at the address is not the one that `expectedStartMs` names; nothing was sent to it.
     OtherIncarnation, ///< Another incarnation of the endpoint answered at this address.
     ConnectionRefused, ///< Nothing listens at the address.
     NoAnswer, ///< No answer in time; the call may have been carried out, or may still be carried out seconds later.
@@ -33,6 +34,7 @@
     std::uint64_t fencingToken = 0; ///< Increases with every restart of agent or endpoint; calls with a lower token are refused.
     std::uint64_t leaseExpiryMs = 0; ///< When the lease of all runs at the endpoint expires, on its clock; 0 leaves the lease unchanged.
     Duration timeout{0}; ///< Time limit for the answer.
+    std::uint64_t expectedStartMs = 0; ///< For a start: the process that it is for, by its start time in Unix ms; 0 is not checked.
 };
 
 /** Result of a call. */
--- a/src/repeatable/placement.cpp
+++ b/src/repeatable/placement.cpp
@@ -39,6 +39,7 @@
     status.newestStamp = report.stamp();
     status.service = report.service();
     status.accepting = report.accepting();
+    status.endpointStartMs = report.endpoint_start_ms();
     status.capacity.cpu = report.cpu_total();
     status.reportedFree = {report.cpu_free(), report.mem_free(), report.gpu_free()};
     status.slowdown = report.slowdown_percent() / 100.0;
--- a/src/repeatable/placement.h
+++ b/src/repeatable/placement.h
@@ -25,6 +25,7 @@
     double slowdown = 1; ///< Ratio of measured to expected run time.
     bool accepting = false; ///< The endpoint accepts work.
     bool linkUp = false; ///< The link is connected and has not timed out.
+    std::uint64_t endpointStartMs = 0; ///< Start time of the endpoint process that labels and capacity describe; 0 when unknown.
     OrderId lastReportedOrder = INVALID_ORDER_ID; ///< Orders with numbers up to this one are included in `reportedFree`.
     std::uint64_t newestStamp = 0; ///< Newest stamp of the agent's clock; sending it back proves that this entry is alive.
     Instant lastMessageAt; ///< When the newest message arrived.
--- a/src/repeatable/repeatable_job_agent.cpp
+++ b/src/repeatable/repeatable_job_agent.cpp
@@ -150,10 +150,15 @@
 
 bool RepeatableJobAgent::isAccepting(Instant now) const
 {
-    return notice_.has_value() && !notice_->draining && !notice_->terminated && !draining_ && responsive_ && !health_.isCircuitOpen(now)
+    return isEndpointDescribed() && !notice_->draining && !notice_->terminated && !draining_ && responsive_ && !health_.isCircuitOpen(now)
         && now >= probationUntil_;
 }
 
+bool RepeatableJobAgent::isEndpointDescribed() const
+{
+    return notice_.has_value() && notice_->startUnixMs == describedStartUnixMs_;
+}
+
 Resources RepeatableJobAgent::freeResources() const
 {
     Resources available = notice_.has_value() ? notice_->capacity : Resources();
@@ -170,6 +175,10 @@
     if (!notice_.has_value() || notice_->terminated) {
         return Reason::EndpointAbsent;
     }
+    // The entry chose the endpoint by the labels and the capacity of the process that its order names.
+    if (!isEndpointDescribed() || (order.endpoint_start_ms() != 0 && order.endpoint_start_ms() != notice_->startUnixMs)) {
+        return Reason::EndpointRestarted;
+    }
     if (notice_->draining || draining_) {
         return Reason::Leaving;
     }
@@ -230,7 +239,7 @@
 
 void RepeatableJobAgent::startQueued(Instant now)
 {
-    if (!notice_.has_value() || !responsive_ || hasForeignRuns_ || now < startsBlockedUntil_) {
+    if (!isEndpointDescribed() || !responsive_ || hasForeignRuns_ || now < startsBlockedUntil_) {
         return;
     }
     auto next = queue_.begin();
@@ -273,6 +282,7 @@
         probationUntil_ = now + PROBATION;
     }
     EndpointCall call = makeCall(true, now);
+    call.expectedStartMs = notice_->startUnixMs;
     call.timeout = START_TIMEOUTS[run.startsSent++];
     run.startExpiry = leaseExpiry_;
     counters_.add("agent_starts");
@@ -341,6 +351,13 @@
     case EndpointCallStatus::Malformed:
         finish(key, repeat::RUN_FAILED, Reason::Malformed, now_);
         break;
+    case EndpointCallStatus::OtherProcess:
+        counters_.add("agent_starts_other_process");
+        log_.info(
+            fmt::format("event=start_other_process {} endpoint={} born={}", formatRunName(run.name), notice_->id, notice_->startUnixMs));
+        finishRefused(key, run, Reason::EndpointRestarted);
+        pollImmediately(now_);
+        break;
     case EndpointCallStatus::OtherIncarnation:
     case EndpointCallStatus::ConnectionRefused:
         if (run.startsSent == 1) {
@@ -355,8 +372,9 @@
         if (run.state != RunState::Starting) {
             break;
         }
-        // Repeating a start is idempotent: the endpoint accepts it again if it was carried out.
-        if (run.startsSent < START_TIMEOUTS.size() && !run.stopRequested && run.deadline > now_) {
+        // Repeating a start is idempotent: the endpoint accepts it again if it was carried out. A newer process may be of another kind.
+        if (run.incarnation == endpointIncarnation_ && run.startsSent < START_TIMEOUTS.size() && !run.stopRequested
+            && run.deadline > now_) {
             start(key, run, now_);
         } else {
             stop(key, run, Reason::NoAnswer, now_);
@@ -444,14 +462,14 @@
     endpoint_.stop(call, name, [](const EndpointAnswer &) {});
 }
 
-void RepeatableJobAgent::handBackQueued()
+void RepeatableJobAgent::handBackQueued(Reason reason)
 {
     std::vector<RunKey> queued;
     for (const auto &[rank, key] : queue_) {
         queued.push_back(key);
     }
     for (const RunKey &key : queued) {
-        finish(key, repeat::RUN_NOT_STARTED, Reason::NoRoom, now_);
+        finish(key, repeat::RUN_NOT_STARTED, reason, now_);
     }
 }
 
@@ -551,12 +569,15 @@
             const bool halfOpenRunActive = health_.isCircuitHalfOpen() && !runs_.empty();
             report->set_service(notice_->service);
             report->set_accepting(isAccepting(now) && !halfOpenRunActive && link.releasedAt == NEVER);
-            report->set_cpu_total(notice_->capacity.cpu);
             report->set_cpu_free(health_.isCircuitHalfOpen() ? std::min(available.cpu, HALF_OPEN_CPU) : available.cpu);
             report->set_mem_free(available.memMb);
             report->set_gpu_free(available.gpu);
             report->set_queued(static_cast<std::uint32_t>(queue_.size()));
             report->set_slowdown_percent(static_cast<std::uint32_t>(health_.slowdown() * 100));
+        }
+        if (isEndpointDescribed()) {
+            report->set_endpoint_start_ms(notice_->startUnixMs);
+            report->set_cpu_total(notice_->capacity.cpu);
             for (const std::string &label : notice_->labels) {
                 report->add_labels(label);
             }
--- a/src/repeatable/repeatable_job_agent.h
+++ b/src/repeatable/repeatable_job_agent.h
@@ -158,7 +158,8 @@
     void finishRefused(const RunKey &key, Run &run, Reason reason);
     void stop(const RunKey &key, Run &run, Reason reason, Instant now);
     void sendStop(const RunKey &key, Run &run, Instant now);
-    void handBackQueued();
+    void handBackQueued(Reason reason);
+    bool isEndpointDescribed() const;
     void stopUnknownRun(const RunName &name, Instant now);
     void poll(Instant now);
     void pollImmediately(Instant now);
@@ -195,6 +196,7 @@
     Resources used_; ///< Resources of all runs that may exist at the endpoint.
     Resources queuedDemand_; ///< Resources that queued runs will need.
     std::optional<EndpointNotice> notice_; ///< Newest announcement of the endpoint.
+    std::uint64_t describedStartUnixMs_ = 0; ///< Start time of the process whose labels and capacity `notice_` holds.
     std::uint64_t newestStartUnixMs_ = 0; ///< Start time of the newest known incarnation of the endpoint.
     std::uint64_t generation_ = 0; ///< Incremented when all runs are lost; answers to earlier calls are then ignored.
     std::uint64_t endpointIncarnation_ = 0; ///< Counts incarnations of the endpoint; clocks in answers to earlier calls are ignored.
--- a/src/repeatable/repeatable_job_agent_endpoint.cpp
+++ b/src/repeatable/repeatable_job_agent_endpoint.cpp
@@ -43,7 +43,7 @@
         return true;
     }
     const bool same = notice_.has_value() && notice.id == notice_->id && notice.startUnixMs == notice_->startUnixMs;
-    if (notice.startUnixMs < newestStartUnixMs_ || (same && notice.sequence <= notice_->sequence)) {
+    if (notice.startUnixMs < newestStartUnixMs_ || (same && isEndpointDescribed() && notice.sequence <= notice_->sequence)) {
         counters_.add("agent_notices_late");
         log_.info(
             fmt::format("event=notice_ignored endpoint={} born={} seq={} reason=late", notice.id, notice.startUnixMs, notice.sequence));
@@ -54,6 +54,7 @@
         if (notice_.has_value() && notice_->id == notice.id && !notice_->terminated) {
             // Starts in flight may have been carried out by the new incarnation; its next list shows which runs exist.
             log_.warn(fmt::format("event=endpoint_reborn endpoint={} born={} held={}", notice.id, notice.startUnixMs, runs_.size()));
+            handBackQueued(Reason::EndpointRestarted);
         } else {
             finishAllAfterEnd(now);
             responsive_ = false;
@@ -67,13 +68,14 @@
     } else if (notice.draining != notice_->draining) {
         log_.info(fmt::format("event=endpoint_state endpoint={} draining={} held={}", notice.id, notice.draining, runs_.size()));
     }
-    const bool shrunk = same && !notice_->capacity.fitsInto(notice.capacity);
+    const bool shrunk = same && isEndpointDescribed() && !notice_->capacity.fitsInto(notice.capacity);
     notice_ = notice;
+    describedStartUnixMs_ = notice.startUnixMs;
     if (shrunk) {
         log_.state(fmt::format("event=endpoint_shrunk endpoint={} cpu={} mem_mb={} gpu={} queued={}", notice.id, notice.capacity.cpu,
                                notice.capacity.memMb, notice.capacity.gpu, queue_.size()));
         counters_.add("agent_endpoint_shrunk");
-        handBackQueued();
+        handBackQueued(Reason::NoRoom);
     }
     updateEndpointClock(notice.clockMs, now);
     markDirty();
@@ -221,6 +223,9 @@
         notice_->startUnixMs = result.startUnixMs;
         notice_->sequence = 0;
         beginIncarnation(result.startUnixMs, result.answer.clockMs);
+        // Labels and capacity of the new process are unknown until its first announcement.
+        handBackQueued(Reason::EndpointRestarted);
+        markDirty();
     }
     updateEndpointClock(result.answer.clockMs, now);
     processFinishedRuns(result, now);
@@ -339,7 +344,8 @@
     }
     for (const RunKey &key : missing) {
         const Run &run = runs_.at(key);
-        const bool ran = run.startedAt != NEVER;
+        // An unanswered start that was sent to an earlier process may have been carried out there.
+        const bool ran = run.startedAt != NEVER || run.incarnation != endpointIncarnation_;
         const bool crashed = !earlierDrained_ && run.incarnation != endpointIncarnation_;
         const Reason reason = crashed ? Reason::EndpointCrashed : Reason::EndpointRestarted;
         finish(key, ran ? repeat::RUN_LOST : repeat::RUN_NOT_STARTED, run.reason == Reason::None ? reason : run.reason, now);
--- a/src/repeatable/repeatable_job_entry.cpp
+++ b/src/repeatable/repeatable_job_entry.cpp
@@ -411,6 +411,7 @@
     order->set_expected_ms(static_cast<std::uint32_t>(toMillis(expectedRunTime(job.submission, group))));
     order->set_stamp(status.newestStamp);
     order->set_refuse_when_full(choice.hasAlternative);
+    order->set_endpoint_start_ms(status.endpointStartMs);
     order->set_crash_suspect(crashRecords_.isSuspect(job.submission.id, task.group, task.index));
     counters_.add("entry_orders");
     links_.sendTo(agent, std::move(message));
--- a/tests/repeatable/fake_endpoint.cpp
+++ b/tests/repeatable/fake_endpoint.cpp
@@ -169,6 +169,11 @@
     EndpointAnswer answer;
     answer.at = now;
     answer.clockMs = clock(now);
+    // As the connection finds when it asks for the process before it sends the start.
+    if (call.expectedStartMs != 0 && call.expectedStartMs != notice(now).startUnixMs) {
+        answer.status = EndpointCallStatus::OtherProcess;
+        return answer;
+    }
     if (call.endpointId != notice(now).id) {
         answer.status = EndpointCallStatus::OtherIncarnation;
         return answer;
