Fix: Probation of an endpoint limits the number of runs, not the size of tasks

Cause: with a half-open circuit an agent reported at most 8 cores as free, and a larger task was never placed until three runs had completed, which could not happen when all tasks were larger. Change: EndpointHealth::runLimit() allows two runs at a time, of any size; the agent reports its whole free capacity and refuses further orders as not started (endpoint_unhealthy). The agent fixture moves into a header of its own, since the tests of evidence share it; the simulated endpoint tells realistic start times.

--- a/src/repeatable/endpoint_health.h
+++ b/src/repeatable/endpoint_health.h
@@ -4,7 +4,9 @@
 
 #include "core/time_type.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -13,8 +15,8 @@
 
 /**
  * Circuit breaker of one endpoint. The circuit opens when several jobs fail in a row or many recent runs have failed; the endpoint then
- * gets no work. After the open time the circuit is half-open: the endpoint gets one run at a time until several have completed. Consecutive
- * failures of the same job count only once, so that a job that can never succeed does not open a closed circuit.
+ * gets no work. After the open time the circuit is half-open: the endpoint gets a few runs at a time until several have completed.
+ * Consecutive failures of the same job count only once, so that a job that can never succeed does not open a closed circuit.
  */
 class EndpointHealth
 {
@@ -37,12 +39,18 @@
         return now < openUntil_;
     }
 
-    /** @return whether the endpoint gets at most one run at a time; also true while the circuit is open. */
+    /** @return whether the number of runs at a time is limited; also true while the circuit is open. */
     bool isCircuitHalfOpen() const
     {
         return halfOpenRunsLeft_ > 0;
     }
 
+    /** @return how many runs the endpoint may have at a time; their size does not matter. */
+    std::size_t runLimit() const
+    {
+        return isCircuitHalfOpen() ? HALF_OPEN_RUN_LIMIT : std::numeric_limits<std::size_t>::max();
+    }
+
     /** @return moving average of measured run time divided by expected run time. */
     double slowdown() const
     {
@@ -50,6 +58,9 @@
     }
 
 private:
+    /** A failing endpoint costs few runs, and a single long run does not hold up the others. */
+    static constexpr std::size_t HALF_OPEN_RUN_LIMIT = 2;
+
     void openCircuit(Instant now);
 
     std::uint32_t failedJobs_ = 0; ///< Different jobs that failed since the last completion.
--- a/src/repeatable/repeatable_job_agent.cpp
+++ b/src/repeatable/repeatable_job_agent.cpp
@@ -24,7 +24,6 @@
 constexpr Duration REPORT_RETENTION = Millis(3'000); ///< How long final reports are kept, to be sent again to an entry that reconnects.
 constexpr std::size_t MAX_RECENT_REPORTS = 2'000; ///< Maximum number of final reports kept.
 constexpr std::uint32_t ATTEMPT_STEP = 16; ///< Added to an attempt refused as old; the entry's next attempt must be above the sum.
-constexpr std::uint32_t HALF_OPEN_CPU = 8'000; ///< Limit of reported free CPU while the circuit is half-open, in thousandths of a core.
 constexpr Duration BUSY_REPORT_INTERVAL = Millis(100); ///< Interval of load reports to an entry with runs at this agent.
 constexpr Duration IDLE_REPORT_INTERVAL = Millis(150); ///< Interval of load reports to other entries.
 constexpr Duration MIN_REPORT_INTERVAL = Millis(15); ///< Minimum time between load reports about changes; entries may request a longer one.
@@ -151,7 +150,7 @@
 bool RepeatableJobAgent::isAccepting(Instant now) const
 {
     return notice_.has_value() && !notice_->draining && !notice_->terminated && !draining_ && responsive_ && !health_.isCircuitOpen(now)
-        && now >= probationUntil_;
+        && runs_.size() < health_.runLimit() && now >= probationUntil_;
 }
 
 Resources RepeatableJobAgent::freeResources() const
@@ -173,7 +172,7 @@
     if (notice_->draining || draining_) {
         return Reason::Leaving;
     }
-    if (!isAccepting(now) || (health_.isCircuitHalfOpen() && !runs_.empty())) {
+    if (!isAccepting(now)) {
         return Reason::EndpointUnhealthy;
     }
     const auto next = runsByName_.lower_bound({order.submission(), order.group(), order.index(), 0});
@@ -548,11 +547,10 @@
         report->set_last_order(static_cast<std::uint64_t>(link.lastOrder));
         if (notice_.has_value()) {
             const Resources available = freeResources();
-            const bool halfOpenRunActive = health_.isCircuitHalfOpen() && !runs_.empty();
             report->set_service(notice_->service);
-            report->set_accepting(isAccepting(now) && !halfOpenRunActive && link.releasedAt == NEVER);
+            report->set_accepting(isAccepting(now) && link.releasedAt == NEVER);
             report->set_cpu_total(notice_->capacity.cpu);
-            report->set_cpu_free(health_.isCircuitHalfOpen() ? std::min(available.cpu, HALF_OPEN_CPU) : available.cpu);
+            report->set_cpu_free(available.cpu);
             report->set_mem_free(available.memMb);
             report->set_gpu_free(available.gpu);
             report->set_queued(static_cast<std::uint32_t>(queue_.size()));
--- a/tests/repeatable/fake_endpoint.cpp
+++ b/tests/repeatable/fake_endpoint.cpp
@@ -121,7 +121,7 @@
 
 std::uint64_t FakeEndpoint::clock(Instant now) const
 {
-    return 1'000 + static_cast<std::uint64_t>(static_cast<double>(toMillis(now - startedAt_)) * clockRate);
+    return clockStartMs + static_cast<std::uint64_t>(static_cast<double>(toMillis(now - startedAt_)) * clockRate);
 }
 
 bool FakeEndpoint::isFenced(const EndpointCall &call)
@@ -285,6 +285,7 @@
     ++incarnation_;
     idIncarnation_ = keepsId ? idIncarnation_ : incarnation_;
     startedAt_ = now;
+    startUnixMs_ = START_UNIX_MS + toMillis(now.time_since_epoch()) + wallClockOffsetMs;
     fencingToken_ = 0;
     leaseExpiryMs_ = 0;
     sequence_ = 0;
@@ -298,7 +299,7 @@
     notice.id = fmt::format("i-{}-{}", number_, idIncarnation_);
     notice.service = "desk";
     notice.address = "127.0.0.1:1";
-    notice.startUnixMs = 1 + toMillis(startedAt_.time_since_epoch());
+    notice.startUnixMs = announcedStartMs.value_or(startUnixMs_);
     notice.sequence = ++sequence_;
     notice.clockMs = clock(now);
     notice.capacity = capacity;
--- a/tests/repeatable/fake_endpoint.h
+++ b/tests/repeatable/fake_endpoint.h
@@ -5,6 +5,7 @@
 #include "repeatable/endpoint_api.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -13,6 +14,7 @@
 namespace medlarmill::fake
 {
 
+inline constexpr std::uint64_t START_UNIX_MS = 1'790'000'000'000; ///< Unix time at the start of the test clock.
 inline constexpr Resources FULL_CAPACITY{16'000, 4'096, 0}; ///< Capacity of a simulated endpoint.
 
 using TaskKey = std::tuple<std::string, std::uint32_t, std::uint32_t>; ///< Job, group, index.
@@ -111,6 +113,9 @@
     double slowdown = 1; ///< Factor on run times.
     bool keepsId = false; ///< Keeps its id after the next crash.
     Resources capacity{FULL_CAPACITY};
+    std::uint64_t clockStartMs = 1'000; ///< What its clock shows when a process starts; applies from the next call on.
+    std::int64_t wallClockOffsetMs = 0; ///< Error of the wall clock when the next process starts.
+    std::optional<std::uint64_t> announcedStartMs; ///< Replaces the start time, for example by 0 for an endpoint that does not tell it.
 
 private:
     struct Run
@@ -135,6 +140,7 @@
     int incarnation_ = 1;
     int idIncarnation_ = 1; ///< Incarnation number in its id.
     Instant startedAt_;
+    std::uint64_t startUnixMs_{START_UNIX_MS};
     std::uint64_t fencingToken_ = 0;
     std::uint64_t leaseExpiryMs_ = 0;
     std::uint64_t sequence_ = 0;
--- a/tests/repeatable/repeatable_job_agent_test.cpp
+++ b/tests/repeatable/repeatable_job_agent_test.cpp
@@ -1,13 +1,9 @@
 /** @file repeatable_job_agent_test.cpp Tests of single agent decisions about repeatable jobs. */
 
-#include "fake_endpoint.h"
-#include "repeatable/repeatable_job_agent.h"
-#include "repeatable_job_recorder.h"
+#include "agent_fixture.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
-#include <functional>
-#include <utility>
 
 namespace
 {
@@ -15,128 +11,6 @@
 using namespace medlarmill;
 using namespace medlarmill::fake;
 
-/** Interface to a simulated endpoint that holds calls back until executePending(). */
-class SteppedEndpointApi : public EndpointApi
-{
-public:
-    void start(const EndpointCall &call, const RunName &run, const std::string & /*spec*/,
-               std::function<void(EndpointAnswer)> done) override
-    {
-        startTimeouts.push_back(call.timeout);
-        if (startsToLose > 0) {
-            --startsToLose;
-            pending.emplace_back([done](Instant now) {
-                EndpointAnswer answer;
-                answer.at = now;
-                done(answer);
-            });
-            return;
-        }
-        pending.emplace_back([this, call, run, done](Instant now) {
-            done(endpoint.start(call, run, Millis(100), false, {3'000, 64, 0}, now));
-        });
-    }
-    void stop(const EndpointCall &call, const RunName &run, std::function<void(EndpointAnswer)> done) override
-    {
-        ++stopCalls;
-        pending.emplace_back([this, call, run, done](Instant now) {
-            done(endpoint.stop(call, run, now));
-        });
-    }
-    void poll(const EndpointCall &call, std::uint64_t acknowledged, Millis /*wait*/, std::function<void(EndpointPollResult)> done) override
-    {
-        ++pollCalls;
-        const bool lost = pollsToLose > 0 && pollsToLose-- > 0;
-        pending.emplace_back([this, call, acknowledged, done, lost](Instant now) {
-            EndpointPollResult result = endpoint.poll(call, acknowledged, now);
-            if (lost) {
-                result = EndpointPollResult();
-                result.answer.at = now;
-            }
-            done(result);
-        });
-    }
-    void executePending(Instant now)
-    {
-        for (const auto &call : std::exchange(pending, {})) {
-            call(now);
-        }
-    }
-
-    fake::Oracle oracle;
-    fake::FakeEndpoint endpoint{1, oracle};
-    std::vector<std::function<void(Instant)>> pending;
-    int stopCalls = 0;
-    int pollCalls = 0;
-    int pollsToLose = 0; ///< Poll calls whose answers will be lost.
-    int startsToLose = 0; ///< Start calls that will be lost.
-    std::vector<Duration> startTimeouts; ///< Timeouts of the start calls, in order.
-};
-
-struct AgentFixture
-{
-    AgentFixture()
-        : agent({"agent", "a", AGENT}, recorder, api, log)
-    {
-        agent.onEntryUp(ENTRY, now);
-        agent.onNotice(api.endpoint.notice(now), now);
-        runFor(Millis(40));
-    }
-
-    /** Advances the clock in steps of 10 ms; the entry sends a ping at each step. */
-    void runFor(Duration span)
-    {
-        for (const Instant end = now + span; now < end; now += Millis(10)) {
-            api.endpoint.advance(now);
-            api.executePending(now);
-            repeat::Message ping;
-            ping.mutable_entry_ping()->set_stamp(toMillis(now.time_since_epoch()));
-            agent.onEntryMessage(ENTRY, ping, now);
-            agent.tick(now);
-        }
-    }
-
-    /** Sends an order for one task of 100 ms as the entry. */
-    void sendOrder(std::uint64_t number, bool refuseWhenFull = false)
-    {
-        agent.onEntryMessage(ENTRY, makeOrder(number, refuseWhenFull), now);
-    }
-
-    repeat::Message makeOrder(std::uint64_t number, bool refuseWhenFull = false) const
-    {
-        repeat::Message message;
-        repeat::RunOrder *order = message.mutable_run_order();
-        order->set_order(number);
-        order->set_submission("j" + std::to_string(number));
-        order->set_attempt(1);
-        order->set_cpu(3'000);
-        order->set_mem(64);
-        order->set_time_left_ms(5'000);
-        order->set_expected_ms(100);
-        order->set_stamp(toMillis(now.time_since_epoch()));
-        order->set_refuse_when_full(refuseWhenFull);
-        return message;
-    }
-
-    std::vector<repeat::RunReport> reports() const
-    {
-        std::vector<repeat::RunReport> result;
-        for (const repeat::Message &message : recorder.sent) {
-            if (message.has_run_report()) {
-                result.push_back(message.run_report());
-            }
-        }
-        return result;
-    }
-
-    static constexpr Incarnation ENTRY{9};
-    OutputRecorder recorder;
-    SteppedEndpointApi api;
-    NullEventLog log;
-    RepeatableJobAgent agent;
-    Instant now = START_TIME;
-};
-
 }
 
 TEST_CASE_FIXTURE(AgentFixture, "a stalled run is reported as lost within 300 ms")
