--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -16,7 +16,8 @@
 CPU = 15000
 RESUBMIT_S = 1.3
 PATIENCE_MS = 2000
-TABLE = ("127.0.0.99", 18169)
+NETWORK = os.environ.get("MEDLARMILL_TEST_NETWORK", "127.0.0")  # Loopback network of all addresses; two systems at one time need two.
+TABLE = (f"{NETWORK}.99", 18169)
 
 
 def config(version, routes):
@@ -28,8 +29,12 @@
 class System:
     """The programs, their settings, the table and the endpoints."""
 
-    def __init__(self, build, folder, through=None):
-        """@param through makes a proxy of a listening and a target address; calls to endpoints then go through one each."""
+    def __init__(self, build, folder, through=None, entries=ENTRIES, agents=AGENTS, settings=()):
+        """@param through makes a proxy of a listening and a target address; calls to endpoints then go through one each.
+        @param settings further lines of every settings file."""
+        self.entries = entries
+        self.agents = agents
+        self.settings = list(settings)
         self.build = pathlib.Path(build).resolve()
         self.folder = pathlib.Path(folder)
         self.oracle = Oracle()
@@ -47,11 +52,11 @@
             raise
 
     def start_all(self, through):
-        for number in range(ENTRIES):
-            self.write_settings(f"entry{number}", f"127.0.0.{11 + number}", True)
+        for number in range(self.entries):
+            self.write_settings(f"entry{number}", f"{NETWORK}.{11 + number}", True)
             self.start(f"entry{number}")
-        for number in range(AGENTS):
-            ip = f"127.0.0.{21 + number}"
+        for number in range(self.agents):
+            ip = f"{NETWORK}.{21 + number}"
             self.endpoints[ip] = Endpoint(ip, 18165, f"i-{number}", self.oracle, CPU)
             if through is not None:
                 self.proxies.append(through((ip, 18164), (ip, 18165)))
@@ -62,9 +67,10 @@
 
     def write_settings(self, name, ip, is_entry):
         lines = [f"node_name={name}", f"ip={ip}", "zone=a", f"listen_addrs.control={ip}:18166", "port_range=17720,17735",
-                 "seeds=127.0.0.11:18166", f"platform.address={TABLE[0]}:{TABLE[1]}", "bounds.hold_max_ms=1000", "bounds.grace_s=6",
+                 f"seeds={NETWORK}.11:18166", f"platform.address={TABLE[0]}:{TABLE[1]}", "bounds.hold_max_ms=1000", "bounds.grace_s=6",
                  "bounds.retransmit_ms=1300", "bounds.stop_ms=50"]
         lines += [f"listen_addrs.front={ip}:18161", f"listen_addrs.readiness_addr={ip}:18167"] if is_entry else [f"app={ip}:18165", "service=desk"]
+        lines += self.settings
         (self.folder / f"{name}.conf").write_text("\n".join(lines) + "\n")
 
     def start(self, name):
@@ -94,10 +100,10 @@
 
     def wait_ready(self, limit=15):
         end = time.monotonic() + limit
-        for number in range(ENTRIES):
+        for number in range(self.entries):
             while True:
                 try:
-                    connection = http.client.HTTPConnection(f"127.0.0.{11 + number}", 18167, timeout=1)
+                    connection = http.client.HTTPConnection(f"{NETWORK}.{11 + number}", 18167, timeout=1)
                     connection.request("GET", "/medlarmill/readyz")
                     if connection.getresponse().status == 200:
                         break
@@ -119,7 +125,7 @@
 
 def metric(number, name):
     """@return the sum of an entry's metrics whose name with labels begins so."""
-    connection = http.client.HTTPConnection(f"127.0.0.{11 + number}", 9464, timeout=3)
+    connection = http.client.HTTPConnection(f"{NETWORK}.{11 + number}", 9464, timeout=3)
     connection.request("GET", "/metrics")
     lines = connection.getresponse().read().decode().splitlines()
     connection.close()
@@ -128,7 +134,7 @@
 
 def submit(number, job, run_ms, tasks, queue="check", more=""):
     """@return status and body, or None without an answer."""
-    connection = http.client.HTTPConnection(f"127.0.0.{11 + number}", 18161, timeout=PATIENCE_MS / 1000 + 0.2)
+    connection = http.client.HTTPConnection(f"{NETWORK}.{11 + number}", 18161, timeout=PATIENCE_MS / 1000 + 0.2)
     body = {"spec": f"{run_ms} {job}{more}", "best_effort": True,
             "task_groups": [{"count": tasks, "cpu": 3000, "mem_mb": 64, "estimate_ms": run_ms}]}
     try:
