Feature: One memory budget and one limit of connections for all HTTP ports of a process

Cause: each port had limits of its own (8 MiB bodies, 3,000 to 20,000 connections) far above the host's memory and descriptors, so that a crowd of large, unfinished or chunked requests, of very short JSON or header fields, or of frames that only name a length, took many times the memory of the process; accept was called again at once after it had failed. Change: MemoryBudget, ConnectionLimits, RequestProgress and checkJson decide without sockets; HttpSession charges connection, buffer, body and answer before they are read, JobGateway charges the state of open jobs. Stalled requests give way when memory is wanted, idle connections to newcomers, callers that wait never. Without room 503 with Retry-After if no copy of the job is known here, else the connection is closed. Route, method, host and declared length are refused before the body is read; Expect: 100-continue is answered accordingly. limits.memory_mb and limits.max_fds size it. Frames between processes are read in pieces of 64 KiB. Header over the limit is answered 431 in place of 413. Docs, metrics http_rejected_total, http_memory_bytes, http_connections, one log line a reason and second.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -64,6 +64,7 @@
 step "demo on real processes" python3 scripts/demo.py "$build"
 step "faults on real processes" python3 tests/faults.py "$build" --tasks 5000
 step "faults on real processes behind a stand-in of the platform" python3 tests/platform_faults.py "$build"
+step "clients that misbehave, one crowd at a time" python3 tests/hostile_clients.py "$build"
 # Seed 19: a start that an endpoint carried out after it was born again, before it had announced itself, was reported as lost.
 step "fault soak, three seeds" python3 tests/soak/soak.py "$build" --seeds 1,2,19
 step "address and undefined behaviour sanitizer" sanitized asan address,undefined "unit-tests platform-tests fuzz-tests repeat-tests" address_tests
--- a/src/daemon/metrics_page.h
+++ b/src/daemon/metrics_page.h
@@ -7,6 +7,8 @@
 #include <absl/status/status.h>
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <memory>
+#include <optional>
 #include <string>
 
 namespace medlarmill
@@ -16,12 +18,14 @@
 class MetricsPage : public HttpHandler
 {
 public:
-    /** @param context the loop. @param text makes the page. */
-    MetricsPage(boost::asio::io_context &context, std::function<std::string()> text);
+    /** @param context the loop. @param text makes the page. @param resources what the servers of the process share; their gauges and
+     * counters are added to the page. */
+    MetricsPage(boost::asio::io_context &context, std::function<std::string()> text, const std::shared_ptr<HttpResources> &resources);
 
     /** Listens. @param address where. @return why it failed. */
     absl::Status listen(const boost::asio::ip::tcp::endpoint &address);
 
+    std::optional<HttpResponse> checkHeader(const HttpRequestHeader &header, std::optional<std::uint64_t> declaredBytes) override;
     void handle(HttpRequest request, HttpReply reply) override;
 
 private:
--- a/src/http/caller_document.cpp
+++ b/src/http/caller_document.cpp
@@ -4,6 +4,7 @@
 
 #include "core/hash_func.h"
 #include "core/reason_table.h"
+#include "http/json_limits.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -18,6 +19,8 @@
 using nlohmann::json;
 
 constexpr int MAX_JSON_DEPTH = 64; ///< Deepest nesting of a body.
+constexpr std::size_t MAX_JSON_BYTES = 64U << 20U; ///< The server's limit of a body is lower; this one bounds the parser.
+constexpr std::size_t MAX_JSON_VALUES = 1'000'000; ///< A document takes up to 100 bytes for each.
 constexpr std::uint32_t MS_PER_SECOND = 1'000;
 
 /** HTTP status of an answer. */
@@ -198,6 +201,10 @@
 
 absl::StatusOr<wire::Job> readSubmission(std::string_view service, std::string_view text)
 {
+    if (const absl::Status limits = checkJson(text, {MAX_JSON_BYTES, MAX_JSON_VALUES, MAX_JSON_DEPTH});
+        limits.code() == absl::StatusCode::kResourceExhausted) {
+        return wrong(fmt::format("{}: send a smaller document", std::string(limits.message())));
+    }
     const json document = parseBounded(text);
     if (!document.is_object()) {
         return wrong(fmt::format("the body must be a JSON object, nested at most {} deep", MAX_JSON_DEPTH));
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,11 +2,10 @@
 
 #include "http/server.h"
 
+#include "http/http_resources.h"
+#include "http/session.h"
 #include "net/listen_func.h"
 
-#include <boost/beast/core.hpp>
-#include <fmt/format.h>
-#include <optional>
 #include <utility>
 
 namespace medlarmill
@@ -15,183 +14,36 @@
 namespace
 {
 
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-/** One connection: reads a request, waits for its answer, writes it, reads the next. */
-class HttpSession : public std::enable_shared_from_this<HttpSession>
-{
-public:
-    HttpSession(boost::asio::ip::tcp::socket socket, HttpHandler &handler, const HttpLimits &limits,
-                std::shared_ptr<std::size_t> connections)
-        : stream_(std::move(socket))
-        , handler_(handler)
-        , limits_(limits)
-        , connections_(std::move(connections))
-    {
-        ++*connections_;
-    }
-
-    ~HttpSession()
-    {
-        --*connections_;
-    }
-
-    HttpSession(const HttpSession &) = delete;
-    HttpSession &operator=(const HttpSession &) = delete;
-
-    void read()
-    {
-        parser_.emplace();
-        parser_->body_limit(limits_.maxBodyBytes);
-        parser_->header_limit(limits_.maxHeaderBytes);
-        stream_.expires_after(limits_.readTimeout);
-        http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](beast::error_code error, std::size_t) {
-            self->onRead(error);
-        });
-    }
-
-private:
-    void onRead(beast::error_code error)
-    {
-        if (error == http::error::body_limit || error == http::error::header_limit) {
-            refuse(
-                413,
-                fmt::format(R"({{"kind":"invalid","reason":"too_large","remedy":"send at most {} bytes of headers and {} bytes of body"}})",
-                            limits_.maxHeaderBytes, limits_.maxBodyBytes));
-            return;
-        }
-        const bool isHttpError = error && error.category() == http::make_error_code(http::error::bad_method).category();
-        if (isHttpError && error != http::error::end_of_stream && error != http::error::partial_message) {
-            refuse(400, R"({"kind":"invalid","reason":"malformed","remedy":"send a valid HTTP/1.1 request"})");
-            return;
-        }
-        if (error) {
-            close();
-            return;
-        }
-        if (isClosedByCaller()) {
-            close(); // The request waited here while this process stood still; its caller may have asked elsewhere since.
-            return;
-        }
-        stream_.expires_never();
-        keepAlive_ = parser_->get().keep_alive();
-        answered_ = false;
-        handler_.handleWatched(
-            parser_->release(),
-            [weak = weak_from_this()](HttpResponse response) {
-                if (const auto self = weak.lock()) {
-                    self->write(std::move(response));
-                }
-            },
-            gone_);
-        if (!answered_) {
-            watch();
-        }
-    }
-
-    bool isClosedByCaller()
-    {
-        if (buffer_.size() > 0) {
-            return false;
-        }
-        beast::error_code error;
-        stream_.socket().non_blocking(true, error);
-        char next = 0;
-        const std::size_t bytes = stream_.socket().receive(boost::asio::buffer(&next, 1), boost::asio::socket_base::message_peek, error);
-        return bytes == 0 && error != boost::asio::error::would_block;
-    }
-
-    /** Keeps the session alive while its answer is due, and notices a caller that has gone. */
-    void watch()
-    {
-        stream_.socket().async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
-            if (error || self->answered_) {
-                return;
-            }
-            char next = 0;
-            beast::error_code peekError;
-            const std::size_t bytes
-                = self->stream_.socket().receive(boost::asio::buffer(&next, 1), boost::asio::socket_base::message_peek, peekError);
-            if (bytes > 0) {
-                self->keepAlive(); // The next request is here early; it waits for the answer to this one.
-                return;
-            }
-            self->onCallerGone();
-        });
-    }
-
-    void keepAlive()
-    {
-        stream_.socket().async_wait(boost::asio::ip::tcp::socket::wait_error, [self = shared_from_this()](beast::error_code) {});
-    }
-
-    void onCallerGone()
-    {
-        answered_ = true;
-        close();
-        if (const auto gone = std::exchange(gone_, nullptr)) {
-            gone();
-        }
-    }
-
-    void refuse(unsigned status, std::string body)
-    {
-        keepAlive_ = false;
-        write(jsonResponse(status, std::move(body)));
-    }
-
-    void write(HttpResponse response)
-    {
-        if (answered_ && gone_ == nullptr && !stream_.socket().is_open()) {
-            return;
-        }
-        answered_ = true;
-        gone_ = nullptr;
-        response_ = std::move(response);
-        keepAlive_ = keepAlive_ && response_.keep_alive();
-        response_.keep_alive(keepAlive_);
-        response_.prepare_payload();
-        stream_.expires_after(limits_.readTimeout);
-        http::async_write(stream_, response_, [self = shared_from_this()](beast::error_code error, std::size_t) {
-            boost::system::error_code ignored;
-            self->stream_.socket().cancel(ignored);
-            if (error || !self->keepAlive_) {
-                self->close();
-                return;
-            }
-            self->read();
-        });
-    }
+constexpr Duration FULL_PAUSE = Millis(20); ///< Time between two looks for room while all connections are in use.
+constexpr Duration ERROR_PAUSE = Millis(50); ///< Time after a failed accept, which would fail again at once without descriptors.
 
-    void close()
-    {
-        beast::error_code ignored;
-        stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
-        stream_.close();
-    }
-
-    beast::tcp_stream stream_;
-    HttpHandler &handler_;
-    HttpLimits limits_;
-    std::shared_ptr<std::size_t> connections_;
-    beast::flat_buffer buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
-    HttpResponse response_;
-    std::function<void()> gone_; ///< Tells the handler that the caller has gone.
-    bool answered_ = false;
-    bool keepAlive_ = false;
-};
+std::shared_ptr<HttpResources> ownResources(const HttpLimits &limits)
+{
+    return std::make_shared<HttpResources>(MemoryBudgetSettings{limits.memoryBytes, 0}, ConnectionLimitSettings{limits.maxConnections, 0},
+                                           HttpResources::LogLine());
+}
 
 }
 
 HttpServer::HttpServer(boost::asio::io_context &context, HttpHandler &handler, HttpLimits limits)
+    : HttpServer(context, handler, limits, ownResources(limits), HttpPort())
+{ }
+
+HttpServer::HttpServer(boost::asio::io_context &context, HttpHandler &handler, HttpLimits limits, std::shared_ptr<HttpResources> resources,
+                       HttpPort port)
     : acceptor_(context)
+    , pause_(context)
     , handler_(handler)
     , limits_(limits)
-    , connections_(std::make_shared<std::size_t>(0))
+    , resources_(std::move(resources))
+    , port_(std::move(port))
+    , portId_(resources_->memory().addPort(port_.name, port_.portClass, port_.memoryShare))
 { }
 
+HttpServer::~HttpServer() = default;
+
 absl::Status HttpServer::listen(const boost::asio::ip::tcp::endpoint &address)
 {
     absl::Status status = listenOn(acceptor_, address);
@@ -205,23 +57,55 @@
 {
     boost::system::error_code ignored;
     acceptor_.close(ignored);
+    pause_.cancel();
 }
 
 void HttpServer::accept()
 {
+    // Further clients wait in the listening queue, where they take no descriptor of this process.
+    if (!resources_->makeRoomForConnection(port_.portClass)) {
+        acceptAfter(FULL_PAUSE);
+        return;
+    }
     acceptor_.async_accept([this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
         if (error == boost::asio::error::operation_aborted || !acceptor_.is_open()) {
             return;
         }
-        if (!error && *connections_ < limits_.maxConnections) {
-            boost::system::error_code ignored;
-            socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-            std::make_shared<HttpSession>(std::move(socket), handler_, limits_, connections_)->read();
+        onAccepted(error, std::move(socket));
+    });
+}
+
+void HttpServer::acceptAfter(Duration pause)
+{
+    pause_.expires_after(pause);
+    pause_.async_wait([this](boost::system::error_code error) {
+        if (!error && acceptor_.is_open()) {
+            accept();
         }
-        accept();
     });
 }
 
+void HttpServer::onAccepted(boost::system::error_code error, boost::asio::ip::tcp::socket socket)
+{
+    if (error) {
+        resources_->count(portId_, "accept_failed");
+        acceptAfter(ERROR_PAUSE);
+        return;
+    }
+    // Another port of the process may have taken the place meanwhile.
+    if (!resources_->makeRoomForConnection(port_.portClass)) {
+        resources_->count(portId_, "no_connection_left");
+        boost::system::error_code ignored;
+        socket.close(ignored);
+        acceptAfter(FULL_PAUSE);
+        return;
+    }
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    std::make_shared<HttpSession>(std::move(socket), handler_, limits_, resources_, port_, portId_)->start();
+    accept();
+}
+
 HttpResponse jsonResponse(unsigned status, std::string body)
 {
     HttpResponse response;
--- a/src/net/frame_socket.cpp
+++ b/src/net/frame_socket.cpp
@@ -2,6 +2,7 @@
 
 #include "net/frame_socket.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -16,6 +17,7 @@
 {
 
 constexpr std::size_t FRAME_LIMIT_BYTES = 4U << 20U; ///< Largest frame.
+constexpr std::size_t PIECE_BYTES = 64U << 10U; ///< A frame is read in such pieces: its length is only a claim until the bytes are here.
 constexpr std::size_t BACKLOG_LIMIT_BYTES = 8U << 20U; ///< Bytes that may wait for a slow receiver.
 
 }
@@ -45,14 +47,20 @@
                                     self->fail();
                                     return;
                                 }
-                                self->body_.resize(length);
-                                self->readBody();
+                                self->body_.clear();
+                                if (self->body_.capacity() > PIECE_BYTES) {
+                                    self->body_.shrink_to_fit(); // One large frame must not keep its memory on every link.
+                                }
+                                self->readBody(length);
                             });
 }
 
-void FrameSocket::readBody()
+void FrameSocket::readBody(std::size_t length)
 {
-    boost::asio::async_read(socket_, boost::asio::buffer(body_), [self = shared_from_this()](boost::system::error_code error, std::size_t) {
+    const std::size_t begin = body_.size();
+    body_.resize(std::min(length, begin + PIECE_BYTES));
+    const auto piece = boost::asio::buffer(body_) + begin;
+    boost::asio::async_read(socket_, piece, [self = shared_from_this(), length](boost::system::error_code error, std::size_t) {
         if (self->closed_) {
             return;
         }
@@ -60,6 +68,10 @@
             self->fail();
             return;
         }
+        if (self->body_.size() < length) {
+            self->readBody(length);
+            return;
+        }
         self->events_.onFrame(self->body_);
         if (!self->closed_) {
             self->readHeader();
--- a/src/net/frame_socket.h
+++ b/src/net/frame_socket.h
@@ -38,7 +38,7 @@
 
 private:
     void readHeader();
-    void readBody();
+    void readBody(std::size_t length);
     void write();
     void fail();
 
--- a/src/net/link_connection.cpp
+++ b/src/net/link_connection.cpp
@@ -5,6 +5,7 @@
 #include "core/time_type.h"
 #include "net/link_hub.h"
 
+#include <algorithm>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <random>
@@ -18,6 +19,7 @@
 constexpr Duration IDLE_LIMIT
     = Millis(10'000); ///< A connection on which nothing arrives for so long is closed; also bounds connecting and the hello.
 constexpr int BITS_PER_BYTE = 8;
+constexpr std::size_t PIECE_BYTES = 64U << 10U; ///< A frame is read in such pieces: its length is only a claim until the bytes are here.
 
 std::string encode(const wire::Frame &frame)
 {
@@ -98,18 +100,28 @@
                                     self->close();
                                     return;
                                 }
-                                self->body_.resize(size);
-                                self->readBody();
+                                self->body_.clear();
+                                if (self->body_.capacity() > PIECE_BYTES) {
+                                    self->body_.shrink_to_fit(); // One large frame must not keep its memory on every link.
+                                }
+                                self->readBody(size);
                             });
 }
 
-void LinkConnection::readBody()
+void LinkConnection::readBody(std::size_t size)
 {
-    boost::asio::async_read(socket_, boost::asio::buffer(body_), [self = shared_from_this()](boost::system::error_code error, std::size_t) {
+    const std::size_t begin = body_.size();
+    body_.resize(std::min(size, begin + PIECE_BYTES));
+    const auto piece = boost::asio::buffer(body_) + begin;
+    boost::asio::async_read(socket_, piece, [self = shared_from_this(), size](boost::system::error_code error, std::size_t) {
         if (error) {
             self->close();
             return;
         }
+        if (self->body_.size() < size) {
+            self->readBody(size);
+            return;
+        }
         self->onFrame();
     });
 }
--- a/src/net/link_connection.h
+++ b/src/net/link_connection.h
@@ -78,7 +78,7 @@
 
 private:
     void readLength();
-    void readBody();
+    void readBody(std::size_t size);
     void onFrame();
     void write();
     void armTimer();
--- a/src/net/link_hub.cpp
+++ b/src/net/link_hub.cpp
@@ -17,6 +17,7 @@
 
 constexpr Duration FIRST_REDIAL = Millis(50); ///< Pause after the first failed attempt.
 constexpr int MAX_REDIAL_DOUBLINGS = 5; ///< The pause doubles so many times at most.
+constexpr Duration ACCEPT_PAUSE = Millis(50); ///< Pause after a failed accept.
 constexpr Duration OVERFLOW_RETRY = Millis(1); ///< Pause before a full ring is tried again.
 constexpr Duration STOP_PATIENCE = Millis(500); ///< Time to write what was queued when the process stops.
 
@@ -32,6 +33,7 @@
                        drainCommands();
                    })
     , commands_(settings_.ringCapacity, commandBell_)
+    , acceptTimer_(context_)
     , overflowTimer_(context_)
 { }
 
@@ -83,7 +85,17 @@
         if (error == boost::asio::error::operation_aborted) {
             return;
         }
-        if (!error && accepted_ < settings_.maxConnections) {
+        if (error) {
+            // Without descriptors the next accept would fail at once.
+            acceptTimer_.expires_after(ACCEPT_PAUSE);
+            acceptTimer_.async_wait([this](boost::system::error_code timerError) {
+                if (!timerError && acceptor_.is_open()) {
+                    accept();
+                }
+            });
+            return;
+        }
+        if (accepted_ < settings_.maxConnections) {
             ++accepted_;
             std::make_shared<LinkConnection>(*this, std::move(socket), "")->start();
         }
--- a/src/net/link_hub.h
+++ b/src/net/link_hub.h
@@ -111,6 +111,7 @@
     std::deque<std::unique_ptr<LinkEvent>>
         overflow_; ///< Events that wait for room in the ring; bounded, since their connections stop reading.
     std::vector<std::weak_ptr<LinkConnection>> paused_; ///< Connections that stopped reading.
+    boost::asio::steady_timer acceptTimer_;
     boost::asio::steady_timer overflowTimer_;
     std::size_t accepted_ = 0;
     std::atomic<std::uint64_t> slowReceivers_{0};
--- a/src/net/message_hub.cpp
+++ b/src/net/message_hub.cpp
@@ -18,6 +18,9 @@
 constexpr Duration LONGEST_REDIAL = Millis(400); ///< Longest pause between attempts.
 constexpr Duration CONNECT_LIMIT = Millis(400); ///< Time for a connection to open.
 constexpr Duration SILENCE_CHECK = Millis(200); ///< Time between checks for silent links.
+constexpr Duration ACCEPT_PAUSE = Millis(50); ///< After a failed accept, which would fail again at once without descriptors.
+constexpr std::size_t MAX_UNNAMED
+    = 256; ///< Accepted links without a hello; one comes within a round trip, and all agents dial after a start.
 constexpr unsigned USER_TIMEOUT_MS = 1'500; ///< Sent bytes are acknowledged within this time, or the link is closed.
 
 }
@@ -51,6 +54,7 @@
     , events_(events)
     , acceptor_(context)
     , silenceTimer_(context)
+    , acceptTimer_(context)
 {
     checkSilence();
 }
@@ -77,7 +81,16 @@
         if (!acceptor_.is_open()) {
             return;
         }
-        if (!error) {
+        if (error) {
+            acceptTimer_.expires_after(ACCEPT_PAUSE);
+            acceptTimer_.async_wait([this](boost::system::error_code timerError) {
+                if (!timerError && acceptor_.is_open()) {
+                    accept();
+                }
+            });
+            return;
+        }
+        if (unnamed_.size() < MAX_UNNAMED) {
             const auto link = std::make_shared<Link>();
             unnamed_.push_back(link);
             attach(link, std::move(socket));
--- a/src/net/message_hub.h
+++ b/src/net/message_hub.h
@@ -104,6 +104,7 @@
     MessageHubEvents &events_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer silenceTimer_;
+    boost::asio::steady_timer acceptTimer_;
     absl::btree_map<std::string, std::unique_ptr<Target>> targets_;
     absl::btree_map<Incarnation, std::shared_ptr<Link>> peers_;
     std::vector<std::shared_ptr<Link>> unnamed_; ///< Accepted links without a hello yet.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -75,6 +75,14 @@
     CHECK(good->seeds == std::vector<std::string>{"10.1.0.13:7720", "10.2.0.30:7720"});
     CHECK(good->grace == Millis(6'000));
     CHECK(good->cpuShare == 0.12);
+    CHECK(good->memoryMb == 0);
+    const auto limited = parseDeployment(std::string(SETTINGS) + "\nlimits.memory_mb=120\nlimits.max_fds=3075\n");
+    REQUIRE(limited.ok());
+    CHECK(limited->memoryMb == 120);
+    CHECK(limited->maxFds == 3'075);
+    const auto tooSmall = parseDeployment(std::string(SETTINGS) + "\nlimits.memory_mb=15\nlimits.max_fds=many\n");
+    CHECK(tooSmall.status().message().find("limits.memory_mb=15 is no whole number from 16 to") != absl::string_view::npos);
+    CHECK(tooSmall.status().message().find("limits.max_fds=many") != absl::string_view::npos);
     const auto bad = parseDeployment("node_name=x\nip=1.2.3.4\nzone=a\nport_range=1,2\nplatform.address=nowhere\nbounds.grace_s=soon\n");
     REQUIRE_FALSE(bad.ok());
     const std::string message(bad.status().message());
@@ -119,6 +127,17 @@
     CHECK(decodeSubmission(submissionOf(R"([{"count":1,"gang":true}])"))->unsupported == "gang");
     CHECK(decodeSubmission(submissionOf(R"([{"count":1}])", R"(,"best_effort":true,"repeats":3)"))->unsupported == "schedule");
     CHECK_FALSE(decodeSubmission("{").ok());
+    // Guards against a document that is far larger than its text: the largest usual body passes, one of very many short fields does not.
+    const auto repeated = [](std::string_view group, std::size_t count) {
+        std::string groups;
+        for (std::size_t index = 0; index < count; ++index) {
+            groups += (index == 0 ? "" : ",") + std::string(group);
+        }
+        return decodeSubmission(submissionOf("[" + groups + "]")).status().code();
+    };
+    CHECK(repeated(R"({"count":1,"cpu":3000,"mem_mb":64,"estimate_ms":20})", 5'000) == absl::StatusCode::kOk);
+    CHECK(repeated(R"({"count":1})", 21'000) == absl::StatusCode::kResourceExhausted);
+    CHECK(decodeSubmission(std::string(262'144, '[')).status().code() == absl::StatusCode::kResourceExhausted);
     CHECK_FALSE(decodeSubmission(submissionOf("[]")).ok());
     CHECK_FALSE(decodeSubmission(submissionOf(R"([{"count":0}])")).ok());
     CHECK_FALSE(decodeSubmission(submissionOf(R"([{"count":-1}])")).ok());
