Change: Admission learns the error of its predicted waits in place of the slack share

Cause: the slack share halved with each job ordered late and grew by 0.002 with each one in time, so an entry with tens of jobs a second kept a large margin for seconds after a burst. Waiting work for another label or service triggered the check, too.

Change: an admitted job keeps its predicted wait; when it is ordered or becomes late, the ratio of actual to predicted wait enters moving averages of mean and deviation. Admission multiplies predictions by mean plus 3 deviations (0.5 to 10); without waiting jobs that is forgotten within 0.5 s. Waiting work counts by the share of endpoints that both jobs may use, and a job that fits into free capacity for which nothing ahead waits is admitted.

--- a/src/load/load_player.cpp
+++ b/src/load/load_player.cpp
@@ -110,8 +110,9 @@
     return kinds;
 }
 
-LoadPlayer::LoadPlayer(std::uint64_t seed)
+LoadPlayer::LoadPlayer(std::uint64_t seed, std::vector<double> entryShares)
     : random_(seed)
+    , entryShares_(std::move(entryShares))
     , log_(std::make_unique<SilentLog>())
 {
     for (int entry = 0; entry < ENTRY_COUNT; ++entry) {
@@ -166,6 +167,7 @@
     stats.longestObjective = std::max(stats.longestObjective, objective);
     if (outcome.result != JobResult::Complete) {
         ++stats.refused;
+        stats.refusedWithRoom += call.at == now_ && freeSlots() >= call.kind->width ? 1 : 0;
         stats.longestRefusal = std::max(stats.longestRefusal, response);
     } else if (response <= objective) {
         ++stats.inTime;
@@ -196,7 +198,28 @@
     }
     open_[caller] = call;
     ++stats_[kind.name].asked;
-    entries_[random_() % ENTRY_COUNT]->core.submit(CallerToken{caller}, std::move(job), now_);
+    entries_[chooseEntry()]->core.submit(CallerToken{caller}, std::move(job), now_);
+}
+
+int LoadPlayer::chooseEntry()
+{
+    if (entryShares_.empty()) {
+        return static_cast<int>(random_() % ENTRY_COUNT);
+    }
+    return std::discrete_distribution<int>(entryShares_.begin(), entryShares_.end())(random_);
+}
+
+std::uint32_t LoadPlayer::freeSlots() const
+{
+    std::uint32_t slots = 0;
+    for (const auto &endpoint : endpoints_) {
+        std::uint32_t used = endpoint->usedCpu;
+        for (const Endpoint::QueuedRun &run : endpoint->queue) {
+            used += run.order.cpu();
+        }
+        slots += (ENDPOINT_CPU - std::min(ENDPOINT_CPU, used)) / TASK_CPU;
+    }
+    return slots;
 }
 
 void LoadPlayer::schedule(Duration delay, std::function<void()> action)
--- a/src/load/load_player.h
+++ b/src/load/load_player.h
@@ -21,6 +21,7 @@
     int inTime = 0; ///< Answers within the response time objective.
     int late = 0; ///< Later answers within three times the objective; still later ones count nowhere.
     int refused = 0; ///< Jobs answered without a result.
+    int refusedWithRoom = 0; ///< Jobs refused on arrival while the endpoints had free slots for all of their tasks.
     Duration longestRefusal{0}; ///< Longest time until such an answer.
     Duration longestObjective{0}; ///< Longest response time objective.
 };
@@ -32,8 +33,9 @@
 class LoadPlayer : public CallerOutput
 {
 public:
-    /** @param seed seed of arrivals and run times. */
-    explicit LoadPlayer(std::uint64_t seed);
+    /** @param seed seed of arrivals and run times. @param entryShares share of the callers of each of the six entries; empty for even
+     * shares. */
+    explicit LoadPlayer(std::uint64_t seed, std::vector<double> entryShares = {});
     ~LoadPlayer() override;
 
     /** Offers load and lets the time pass. @param ratio offered work as a ratio of the capacity. @param span how long. */
@@ -55,6 +57,8 @@
 
     static const std::vector<LoadKind> &loadKinds();
     void submit(const LoadKind &kind);
+    int chooseEntry();
+    std::uint32_t freeSlots() const;
     void step();
     void schedule(Duration delay, std::function<void()> action);
     void sendToEntry(int agent, int entry, repeat::Message message);
@@ -64,6 +68,7 @@
     void startQueued(int agent);
 
     std::mt19937_64 random_;
+    std::vector<double> entryShares_; ///< Empty for even shares.
     Instant now_{Millis(1'000'000)};
     std::unique_ptr<EventLog> log_;
     std::vector<std::unique_ptr<EntryNode>> entries_;
--- a/src/repeatable/placement.cpp
+++ b/src/repeatable/placement.cpp
@@ -18,6 +18,11 @@
 constexpr double SUSPECT_LOAD_COST_MS = 500; ///< Cost of a fully loaded endpoint for a task that may crash it: what runs there is lost.
 constexpr double AVOIDED_AGENT_COST_MS = 1'000; ///< Cost of the agent where the previous run failed, was lost or was refused.
 
+bool hasLabel(const AgentStatus &agent, std::string_view label)
+{
+    return label.empty() || std::ranges::find(agent.labels, label) != agent.labels.end();
+}
+
 }
 
 Resources AgentStatus::freeCapacity() const
@@ -70,8 +75,7 @@
         if (!agent.linkUp || !agent.accepting || agent.service != request.service || !needed.fitsInto(agent.freeCapacity())) {
             continue;
         }
-        const std::string &required = request.group->requiredLabel;
-        if (!required.empty() && std::ranges::find(agent.labels, required) == agent.labels.end()) {
+        if (!hasLabel(agent, request.group->requiredLabel)) {
             continue;
         }
         if (request.group->maxPerEndpoint > 0 && request.groupTasksByAgent != nullptr) {
@@ -90,13 +94,19 @@
     return best;
 }
 
-double Placement::availableCpu(std::string_view service) const
+double Placement::availableCpu(std::string_view service, std::initializer_list<std::string_view> requiredLabels) const
 {
     double sum = 0;
     for (const auto &[incarnation, agent] : agents_) {
         if (!agent.linkUp || agent.service != service) {
             continue;
         }
+        const AgentStatus &status = agent;
+        if (!std::ranges::all_of(requiredLabels, [&status](std::string_view label) {
+                return hasLabel(status, label);
+            })) {
+            continue;
+        }
         sum += agent.accepting ? agent.freeCapacity().cpu : 0;
         for (const auto &[order, demand] : agent.outstandingOrders) {
             sum += demand.cpu;
@@ -105,4 +115,37 @@
     return sum;
 }
 
+bool Placement::fitsNow(std::string_view service, std::span<const TaskGroup> groups, std::span<const std::string_view> claimedLabels) const
+{
+    absl::btree_map<Incarnation, Resources> usedByAgent;
+    for (const TaskGroup &group : groups) {
+        std::uint32_t left = group.dependencies.empty() ? group.count : 0;
+        for (const auto &[incarnation, agent] : agents_) {
+            if (left == 0) {
+                break;
+            }
+            if (!agent.linkUp || !agent.accepting || agent.service != service || !hasLabel(agent, group.requiredLabel)) {
+                continue;
+            }
+            const AgentStatus &status = agent;
+            if (std::ranges::any_of(claimedLabels, [&status](std::string_view label) {
+                    return hasLabel(status, label);
+                })) {
+                continue;
+            }
+            Resources free = agent.freeCapacity();
+            free.subtract(usedByAgent[incarnation]);
+            const std::uint32_t limit = group.maxPerEndpoint > 0 ? std::min(left, group.maxPerEndpoint) : left;
+            for (std::uint32_t placed = 0; placed < limit && group.demand.fitsInto(free); ++placed, --left) {
+                free.subtract(group.demand);
+                usedByAgent[incarnation].add(group.demand);
+            }
+        }
+        if (left > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
 }
--- a/src/repeatable/placement.h
+++ b/src/repeatable/placement.h
@@ -6,6 +6,8 @@
 #include "wire/generated/repeat.pb.h"
 
 #include <absl/container/btree_map.h>
+#include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -83,9 +85,14 @@
     /** Chooses the endpoint with the lowest expected cost for a task. @param request the task. @return the endpoint. */
     PlacementChoice chooseAgent(const PlacementRequest &request) const;
 
-    /** @param service a service. @return CPU that this entry has orders on or finds free, in thousandths of a core: about the rate at which
-     * its work gets done while it has a queue. */
-    double availableCpu(std::string_view service) const;
+    /** @param service a service. @param requiredLabels labels that endpoints must have; empty ones are not required. @return CPU of such
+     * endpoints that this entry has orders on or finds free, in thousandths of a core: about the rate at which its work gets done while it
+     * has a queue. */
+    double availableCpu(std::string_view service, std::initializer_list<std::string_view> requiredLabels = {}) const;
+
+    /** @param service a service. @param groups task groups of a job. @param claimedLabels endpoints with one of these labels are left out;
+     * an empty label stands for all endpoints. @return whether all tasks without dependencies fit into free capacity at once. */
+    bool fitsNow(std::string_view service, std::span<const TaskGroup> groups, std::span<const std::string_view> claimedLabels) const;
 
 private:
     double cost(const AgentStatus &agent, const PlacementRequest &request) const;
--- a/src/repeatable/repeatable_job_entry.cpp
+++ b/src/repeatable/repeatable_job_entry.cpp
@@ -22,8 +22,6 @@
 constexpr std::size_t MAX_MEASURED_NAMES = 1'000; ///< Limit for measured kinds; configuration changes may rename them.
 constexpr std::size_t MAX_UNPLACED_JOBS = 12; ///< Jobs of one queue that may fail to be placed before a dispatch round ends.
 constexpr Duration ISOLATION_TIMEOUT = Millis(400); ///< After so long without a link to any agent, callers are sent to other entries.
-constexpr Duration MIN_RETRY_AFTER = Millis(100); ///< Minimum retry time sent to a refused caller.
-constexpr Duration MAX_RETRY_AFTER = Millis(5'000); ///< Maximum of the same; lost endpoints are replaced within seconds.
 constexpr Duration JOB_CHECK_INTERVAL = Millis(10); ///< Time between checks of the deadlines of jobs.
 
 std::size_t taskCount(const RepeatableJob &job)
@@ -91,70 +89,6 @@
         + job.policy.targetLatency;
 }
 
-double RepeatableJobEntry::unorderedWork(const Job &job) const
-{
-    double work = 0;
-    for (const RepeatableJobTask &task : job.tasks) {
-        if (task.state != TaskState::Waiting && task.state != TaskState::Blocked) {
-            continue;
-        }
-        const TaskGroup &group = job.submission.groups[task.group];
-        work += static_cast<double>(group.demand.cpu) * static_cast<double>(expectedRunTime(job.submission, group).count());
-    }
-    return work;
-}
-
-std::vector<QueuedWork> RepeatableJobEntry::queuedWork(std::string_view service) const
-{
-    std::vector<QueuedWork> queue;
-    const auto addQueue = [&](const absl::btree_set<JobRank> &ranks, bool isBegun) {
-        for (const JobRank &rank : ranks) {
-            const Job &job = jobs_.at(rank.second);
-            if (job.submission.policy.service == service) {
-                queue.push_back({isBegun ? Instant::min() : rank.first, unorderedWork(job)});
-            }
-        }
-    };
-    addQueue(begunQueue_, true);
-    addQueue(onTimeQueue_, false);
-    return queue;
-}
-
-Duration RepeatableJobEntry::estimateQueueingDelay(std::string_view service) const
-{
-    double work = 0;
-    for (const QueuedWork &waiting : queuedWork(service)) {
-        work += waiting.work;
-    }
-    return estimateWait(work, placement_.availableCpu(service));
-}
-
-Reason RepeatableJobEntry::refusalReason(const RepeatableJob &job, Instant now, Duration *retryAfter) const
-{
-    *retryAfter = MIN_RETRY_AFTER;
-    if (jobs_.size() >= settings_.maxJobs) {
-        return Reason::JobTableFull;
-    }
-    const Duration criticalPath = criticalPathTime(job);
-    const Duration objective = responseTimeObjective(job, criticalPath);
-    // While the capacity is not known, as after a pause of this process, jobs wait for the links; isIsolated() limits that.
-    if ((begunQueue_.empty() && onTimeQueue_.empty()) || !isCapacityKnown(now)) {
-        return Reason::None;
-    }
-    QueuedWork added{now + objective - criticalPath, 0};
-    for (const TaskGroup &group : job.groups) {
-        added.work += static_cast<double>(group.count) * static_cast<double>(group.demand.cpu)
-            * static_cast<double>(expectedRunTime(job, group).count());
-    }
-    const std::string_view service = job.policy.service;
-    const AdmissionVerdict verdict = checkAdmission(queuedWork(service), added, placement_.availableCpu(service), slackShare_.value(), now);
-    if (verdict.admitted) {
-        return Reason::None;
-    }
-    *retryAfter = std::clamp(verdict.wait, MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-    return Reason::DeadlineUnreachable;
-}
-
 void RepeatableJobEntry::refuseJob(CallerToken caller, const RepeatableJob &job, Reason reason, Duration retryAfter)
 {
     counters_.add("entry_refused", reason);
@@ -196,10 +130,9 @@
         callers_.answer(caller, {JobResult::Abandoned, reason, Duration(0)});
         return;
     }
-    Duration retryAfter{0};
-    const Reason refusal = refusalReason(submission, now, &retryAfter);
-    if (refusal != Reason::None) {
-        refuseJob(caller, submission, refusal, retryAfter);
+    const Admission admission = checkNewJob(submission, now);
+    if (admission.refusal != Reason::None) {
+        refuseJob(caller, submission, admission.refusal, admission.retryAfter);
         return;
     }
     const JobNumber number{nextJobNumber_++};
@@ -207,6 +140,7 @@
     const Duration criticalPath = criticalPathTime(submission);
     const Duration objective = responseTimeObjective(submission, criticalPath);
     job.arrivedAt = now;
+    job.predictedWait = admission.predictedWait;
     job.deadline = submission.callerTimeout.count() > 0 ? now + submission.callerTimeout : NEVER;
     job.latestStart = now + objective - criticalPath;
     job.latestUsefulStart
@@ -298,12 +232,15 @@
 void RepeatableJobEntry::dispatchTasks(Instant now)
 {
     while (!onTimeQueue_.empty() && onTimeQueue_.begin()->first < now) {
+        Job &job = jobs_.at(onTimeQueue_.begin()->second);
+        judgeWait(job, now - job.arrivedAt, now);
         lateQueue_.insert(*onTimeQueue_.begin());
         onTimeQueue_.erase(onTimeQueue_.begin());
     }
     dispatchQueue(begunQueue_, now);
     dispatchQueue(onTimeQueue_, now);
     dispatchQueue(lateQueue_, now);
+    waitCorrection_.onQueueChanged(!begunQueue_.empty() || !onTimeQueue_.empty(), now);
 }
 
 void RepeatableJobEntry::dispatchQueue(absl::btree_set<JobRank> &queue, Instant now)
@@ -322,8 +259,8 @@
         if (job.anyTaskOrdered) {
             queue.erase(rank);
         }
-        if (job.waitingTasks == 0 && !std::exchange(job.isSlackJudged, true)) {
-            slackShare_.onJobOrdered(now <= job.latestStart);
+        if (job.waitingTasks == 0) {
+            judgeWait(job, now - job.arrivedAt, now);
         }
         if (job.anyTaskOrdered && job.waitingTasks > 0) {
             begunQueue_.insert(rank);
@@ -498,7 +435,7 @@
         const Duration wait = estimateQueueingDelay(jobs_.at(number).submission.policy.service);
         // Another entry may have links to agents; Abandoned makes the caller try there.
         const JobResult result = reason == Reason::EndpointAbsent ? JobResult::Abandoned : JobResult::NotRun;
-        finishJob(number, result, reason, now, std::clamp(wait, MIN_RETRY_AFTER, MAX_RETRY_AFTER));
+        finishJob(number, result, reason, now, retryDelay(wait));
     }
     while (!recentResultTimes_.empty()
            && (recentResultTimes_.front().first + RESULT_RETENTION < now || recentResultTimes_.size() > MAX_RETAINED_RESULTS)) {
@@ -612,7 +549,7 @@
             task.avoidedAgent = task.agent;
         }
     } else {
-        job.isSlackJudged = true;
+        job.isWaitJudged = true;
         task.avoidedAgent = task.agent;
     }
     task.attempt = std::max(task.attempt, report.attempt_floor());
--- a/src/repeatable/repeatable_job_entry.h
+++ b/src/repeatable/repeatable_job_entry.h
@@ -162,7 +162,8 @@
         Instant latestUsefulStart; ///< Latest start with which the answer is still useful to the caller.
         bool mayHaveStarted = false; ///< An order ended with an outcome other than RUN_NOT_STARTED.
         bool anyTaskOrdered = false; ///< At least one order has been sent.
-        bool isSlackJudged = false; ///< It has counted for the slack share, or a run of it failed or was lost and it does not count.
+        Duration predictedWait{0}; ///< Time until its last task is ordered, as predicted when it was admitted; 0 without a prediction.
+        bool isWaitJudged = false; ///< It has counted for the correction, or a run of it failed or was lost and it does not count.
         std::string slowestAgent; ///< Agent of the longest run that completed.
         Duration slowestRun{0}; ///< Duration of that run.
     };
@@ -183,13 +184,23 @@
         std::size_t pendingJobs = 0; ///< Number of open jobs of which no task has been ordered.
     };
 
-    Reason refusalReason(const RepeatableJob &job, Instant now, Duration *retryAfter) const;
+    /** Result of the check of a new job. */
+    struct Admission
+    {
+        Reason refusal = Reason::None; ///< None when the job is admitted.
+        Duration predictedWait{0}; ///< See Job::predictedWait.
+        Duration retryAfter{0}; ///< For a refused job: time to wait before submitting again.
+    };
+
+    Admission checkNewJob(const RepeatableJob &job, Instant now) const;
+    bool isPlacedAtOnce(const RepeatableJob &job, Instant latestStart) const;
+    void judgeWait(Job &job, Duration wait, Instant now);
     Duration responseTimeObjective(const RepeatableJob &job, Duration criticalPath) const;
     Duration expectedRunTime(const RepeatableJob &job, const TaskGroup &group) const;
     Duration criticalPathTime(const RepeatableJob &job) const;
-    double unorderedWork(const Job &job) const;
+    Duration retryDelay(Duration wait) const;
     Duration estimateQueueingDelay(std::string_view service) const;
-    std::vector<QueuedWork> queuedWork(std::string_view service) const;
+    std::vector<QueuedWork> queuedWork(std::string_view service, std::string_view label) const;
     void unblockTasks(Job &job);
     void dispatchQueue(absl::btree_set<JobRank> &queue, Instant now);
     bool dispatchJob(JobNumber number, Job &job, Instant now);
@@ -223,7 +234,7 @@
     absl::btree_set<JobRank> begunQueue_; ///< Jobs with waiting tasks of which others have been ordered; they go first.
     absl::btree_set<JobRank> onTimeQueue_; ///< Other jobs that can still meet their objective.
     absl::btree_set<JobRank> lateQueue_; ///< Other jobs that can no longer meet it; they leave a reserve of capacity.
-    SlackShare slackShare_;
+    WaitCorrection waitCorrection_;
     CrashRecords crashRecords_;
     absl::flat_hash_map<OrderId, OrderRef> orders_; ///< Orders for which no final report has arrived.
     absl::flat_hash_map<SubmissionId, JobResult> recentResults_; ///< Results of recently ended jobs, repeated to duplicates of the request.
