Fix: Nothing is started at an endpoint after its agent acknowledged that it drains

Cause: tasks that waited at the agent stayed in its queue when the endpoint announced that it drains, and started there up to 2.7 s later; a start without an answer was sent again. Change: the agent returns waiting tasks as not started (leaving) before it acknowledges the announcement, and does not repeat starts. A planned stop of the agent does the same.

--- a/src/repeatable/repeatable_job_agent.cpp
+++ b/src/repeatable/repeatable_job_agent.cpp
@@ -149,8 +149,13 @@
 
 bool RepeatableJobAgent::isAccepting(Instant now) const
 {
-    return notice_.has_value() && !notice_->draining && !notice_->terminated && !draining_ && responsive_ && !health_.isCircuitOpen(now)
-        && runs_.size() < health_.runLimit() && now >= probationUntil_;
+    return notice_.has_value() && !isLeaving() && responsive_ && !health_.isCircuitOpen(now) && runs_.size() < health_.runLimit()
+        && now >= probationUntil_;
+}
+
+bool RepeatableJobAgent::isLeaving() const
+{
+    return draining_ || (notice_.has_value() && (notice_->draining || notice_->terminated));
 }
 
 Resources RepeatableJobAgent::freeResources() const
@@ -169,7 +174,7 @@
     if (!notice_.has_value() || notice_->terminated) {
         return Reason::EndpointAbsent;
     }
-    if (notice_->draining || draining_) {
+    if (isLeaving()) {
         return Reason::Leaving;
     }
     if (!isAccepting(now)) {
@@ -229,7 +234,7 @@
 
 void RepeatableJobAgent::startQueued(Instant now)
 {
-    if (!notice_.has_value() || !responsive_ || hasForeignRuns_ || now < startsBlockedUntil_) {
+    if (!notice_.has_value() || isLeaving() || !responsive_ || hasForeignRuns_ || now < startsBlockedUntil_) {
         return;
     }
     auto next = queue_.begin();
@@ -355,7 +360,7 @@
             break;
         }
         // Repeating a start is idempotent: the endpoint accepts it again if it was carried out.
-        if (run.startsSent < START_TIMEOUTS.size() && !run.stopRequested && run.deadline > now_) {
+        if (run.startsSent < START_TIMEOUTS.size() && !run.stopRequested && run.deadline > now_ && !isLeaving()) {
             start(key, run, now_);
         } else {
             stop(key, run, Reason::NoAnswer, now_);
@@ -443,14 +448,14 @@
     endpoint_.stop(call, name, [](const EndpointAnswer &) {});
 }
 
-void RepeatableJobAgent::handBackQueued()
+void RepeatableJobAgent::handBackQueued(Reason reason)
 {
     std::vector<RunKey> queued;
     for (const auto &[rank, key] : queue_) {
         queued.push_back(key);
     }
     for (const RunKey &key : queued) {
-        finish(key, repeat::RUN_NOT_STARTED, Reason::NoRoom, now_);
+        finish(key, repeat::RUN_NOT_STARTED, reason, now_);
     }
 }
 
@@ -567,6 +572,7 @@
 {
     now_ = now;
     draining_ = true;
+    handBackQueued(Reason::Leaving);
     markDirty();
     reportLoad(now);
 }
--- a/src/repeatable/repeatable_job_agent.h
+++ b/src/repeatable/repeatable_job_agent.h
@@ -158,7 +158,8 @@
     void finishRefused(const RunKey &key, Run &run, Reason reason);
     void stop(const RunKey &key, Run &run, Reason reason, Instant now);
     void sendStop(const RunKey &key, Run &run, Instant now);
-    void handBackQueued();
+    void handBackQueued(Reason reason);
+    bool isLeaving() const;
     void stopUnknownRun(const RunName &name, Instant now);
     void poll(Instant now);
     void pollImmediately(Instant now);
--- a/src/repeatable/repeatable_job_agent_endpoint.cpp
+++ b/src/repeatable/repeatable_job_agent_endpoint.cpp
@@ -69,11 +69,13 @@
     }
     const bool shrunk = same && !notice_->capacity.fitsInto(notice.capacity);
     notice_ = notice;
-    if (shrunk) {
+    if (notice.draining) {
+        handBackQueued(Reason::Leaving);
+    } else if (shrunk) {
         log_.state(fmt::format("event=endpoint_shrunk endpoint={} cpu={} mem_mb={} gpu={} queued={}", notice.id, notice.capacity.cpu,
                                notice.capacity.memMb, notice.capacity.gpu, queue_.size()));
         counters_.add("agent_endpoint_shrunk");
-        handBackQueued();
+        handBackQueued(Reason::NoRoom);
     }
     updateEndpointClock(notice.clockMs, now);
     markDirty();
--- a/tests/repeatable/agent_evidence_test.cpp
+++ b/tests/repeatable/agent_evidence_test.cpp
@@ -12,6 +12,57 @@
 
 }
 
+TEST_CASE_FIXTURE(AgentFixture, "after the acknowledgement of a drain, nothing is started and what waits is returned")
+{
+    for (std::uint64_t number = 1; number <= 7; ++number) {
+        sendOrder(number);
+    }
+    runFor(Millis(20));
+    api.endpoint.draining = true;
+    agent.onNotice(api.endpoint.notice(now), now);
+    REQUIRE(reports().size() == 2);
+    CHECK(static_cast<Reason>(reports()[0].reason()) == Reason::Leaving);
+    CHECK(reports()[0].outcome() == repeat::RUN_NOT_STARTED);
+    const std::size_t starts = api.startTimeouts.size();
+    runFor(Millis(500));
+    CHECK(api.startTimeouts.size() == starts);
+    CHECK(std::ranges::count(reports(), repeat::RUN_DONE, &repeat::RunReport::outcome) == 5);
+}
+
+TEST_CASE("a start that gets no answer is not sent again after the acknowledgement of a drain, at whichever try")
+{
+    for (int lost = 1; lost <= 4; ++lost) {
+        for (int step = 0; step < 6; ++step) {
+            AgentFixture fixture;
+            fixture.api.startsToLose = lost;
+            fixture.sendOrder(1);
+            fixture.runFor(Millis(10 * step));
+            fixture.api.endpoint.draining = true;
+            fixture.agent.onNotice(fixture.api.endpoint.notice(fixture.now), fixture.now);
+            const std::size_t starts = fixture.api.startTimeouts.size();
+            fixture.runFor(Millis(1'500));
+            CAPTURE(lost);
+            CAPTURE(step);
+            CHECK(fixture.api.startTimeouts.size() == starts);
+            CHECK(fixture.agent.unfinishedRuns() == 0);
+            CHECK(fixture.reports().size() == 1);
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "a stopping agent returns the runs that wait and finishes those that were started")
+{
+    for (std::uint64_t number = 1; number <= 7; ++number) {
+        sendOrder(number);
+    }
+    runFor(Millis(20));
+    agent.startDraining(now);
+    REQUIRE(reports().size() == 2);
+    CHECK(static_cast<Reason>(reports()[0].reason()) == Reason::Leaving);
+    runFor(Millis(200));
+    CHECK(std::ranges::count(reports(), repeat::RUN_DONE, &repeat::RunReport::outcome) == 5);
+}
+
 TEST_CASE_FIXTURE(AgentFixture, "an endpoint on probation gets tasks of any size that it can hold, and few at a time")
 {
     for (std::uint64_t number = 1; number <= 4; ++number) {
