Fix: Fencing tokens exceed those of earlier holders after a logarithmic number of refusals

Cause: the token was the endpoint's clock, which starts anew with its process, or the former token plus 1. An agent process that started after a restart of its endpoint was refused, raised its token by 1 per refusal and polled without a pause. A start time (born) that went back with the wall clock made the agent ignore the new process for good. Change: FencingToken is the start time plus the clock, with an offset that doubles per refusal; RetryPause puts 10 to 200 ms between polls that fail, and polls that list nothing new are at least 10 ms apart; after a refusal nothing is started and waiting tasks are returned until a poll is accepted. NoticeOrder accepts an earlier start time on evidence, and a poll made under the process in use that is answered with another start time tells the process at once. Two existing tests used the clock as the token of an earlier agent; they use the present rule now, with the same checks.

--- a/src/repeatable/endpoint_api.h
+++ b/src/repeatable/endpoint_api.h
@@ -20,8 +20,8 @@
     Fenced, ///< Refused: another agent has used a higher fencing token; nothing was done.
     Unhealthy, ///< Refused: the endpoint is unhealthy; nothing was done.
     Malformed, ///< Refused: malformed call; nothing was done.
-    OtherIncarnation, ///< Another incarnation of the endpoint answered at this address.
-    ConnectionRefused, ///< Nothing listens at the address.
+    OtherIncarnation, ///< A process with another instance id answered at this address; nothing was done.
+    ConnectionRefused, ///< The connection was refused: the call was not sent. No evidence that the process has ended.
     NoAnswer, ///< No answer in time; the call may have been carried out, or may still be carried out seconds later.
 };
 
@@ -30,7 +30,7 @@
 {
     std::string address; ///< Address of the endpoint, `IP:port`.
     std::string endpointId; ///< Instance id of the intended endpoint.
-    std::uint64_t fencingToken = 0; ///< Increases with every restart of agent or endpoint; calls with a lower token are refused.
+    std::uint64_t fencingToken = 0; ///< See FencingToken; calls with a lower one are refused.
     std::uint64_t leaseExpiryMs = 0; ///< When the lease of all runs at the endpoint expires, on its clock; 0 leaves the lease unchanged.
     Duration timeout{0}; ///< Time limit for the answer.
 };
--- a/src/repeatable/repeatable_job_agent.cpp
+++ b/src/repeatable/repeatable_job_agent.cpp
@@ -155,7 +155,7 @@
 
 bool RepeatableJobAgent::isLeaving() const
 {
-    return draining_ || (notice_.has_value() && (notice_->draining || notice_->terminated));
+    return draining_ || pendingNotice_.has_value() || (notice_.has_value() && (notice_->draining || notice_->terminated));
 }
 
 Resources RepeatableJobAgent::freeResources() const
@@ -259,7 +259,7 @@
     EndpointCall call;
     call.address = notice_->address;
     call.endpointId = notice_->id;
-    call.fencingToken = fencingToken_;
+    call.fencingToken = fencingToken_.value();
     if (extendLease) {
         call.leaseExpiryMs = endpointClockMs_ + toMillis(now - endpointClockReadAt_) + toMillis(settings_.lease);
         // The endpoint's clock may run up to 2% slow.
@@ -281,19 +281,20 @@
     run.startExpiry = leaseExpiry_;
     counters_.add("agent_starts");
     const std::uint64_t generation = generation_;
-    endpoint_.start(call, run.name, run.spec, [this, key, generation, incarnation = endpointIncarnation_](const EndpointAnswer &answer) {
-        now_ = answer.at;
-        if (generation != generation_) {
-            return;
-        }
-        if (incarnation == endpointIncarnation_) {
-            updateEndpointClock(answer.clockMs, now_);
-        }
-        onStartAnswer(key, answer);
-    });
+    endpoint_.start(call, run.name, run.spec,
+                    [this, key, call, generation, incarnation = endpointIncarnation_](const EndpointAnswer &answer) {
+                        now_ = answer.at;
+                        if (generation != generation_) {
+                            return;
+                        }
+                        if (incarnation == endpointIncarnation_) {
+                            updateEndpointClock(answer.clockMs, now_);
+                        }
+                        onStartAnswer(key, call, answer);
+                    });
 }
 
-void RepeatableJobAgent::onStartAnswer(const RunKey &key, const EndpointAnswer &answer)
+void RepeatableJobAgent::onStartAnswer(const RunKey &key, const EndpointCall &call, const EndpointAnswer &answer)
 {
     const auto found = runs_.find(key);
     if (found == runs_.end()) {
@@ -333,9 +334,8 @@
         finish(key, repeat::RUN_NOT_STARTED, Reason::OldAttempt, now_, run.name.attempt + ATTEMPT_STEP);
         break;
     case EndpointCallStatus::Fenced:
-        fencingToken_ = std::max(fencingToken_ + 1, answer.clockMs);
-        log_.warn(fmt::format("event=fenced endpoint={} new_token={}", notice_->id, fencingToken_));
         finishRefused(key, run, Reason::Fenced);
+        onFenced(call.fencingToken, answer);
         break;
     case EndpointCallStatus::Unhealthy:
         health_.onStartRefused(now_);
@@ -346,11 +346,13 @@
         finish(key, repeat::RUN_FAILED, Reason::Malformed, now_);
         break;
     case EndpointCallStatus::OtherIncarnation:
+        finishRefused(key, run, Reason::EndpointAbsent);
+        onOtherProcess(call);
+        break;
     case EndpointCallStatus::ConnectionRefused:
-        if (run.startsSent == 1) {
-            finish(key, repeat::RUN_NOT_STARTED, Reason::EndpointAbsent, now_);
-        }
-        finishAllAfterEnd(now_);
+        // The call was not sent. Earlier runs may go on: a fault of the network can refuse connections as well.
+        finishRefused(key, run, Reason::EndpointAbsent);
+        onConnectionRefused();
         break;
     case EndpointCallStatus::NoAnswer:
         counters_.add("agent_starts_unanswered");
@@ -418,7 +420,7 @@
     EndpointCall call = makeCall(false, now);
     call.timeout = STOP_TIMEOUT;
     const std::uint64_t generation = generation_;
-    endpoint_.stop(call, run.name, [this, key, generation, incarnation = endpointIncarnation_](const EndpointAnswer &answer) {
+    endpoint_.stop(call, run.name, [this, key, call, generation, incarnation = endpointIncarnation_](const EndpointAnswer &answer) {
         now_ = answer.at;
         const auto found = runs_.find(key);
         if (generation != generation_ || found == runs_.end()) {
@@ -432,9 +434,11 @@
             found->second.stopAcceptedAt = std::min(found->second.stopAcceptedAt, now_);
             pollImmediately(now_);
         } else if (answer.status == EndpointCallStatus::Fenced) {
-            fencingToken_ = std::max(fencingToken_ + 1, answer.clockMs);
-        } else if (answer.status == EndpointCallStatus::OtherIncarnation || answer.status == EndpointCallStatus::ConnectionRefused) {
-            finishAllAfterEnd(now_);
+            onFenced(call.fencingToken, answer);
+        } else if (answer.status == EndpointCallStatus::OtherIncarnation) {
+            onOtherProcess(call);
+        } else if (answer.status == EndpointCallStatus::ConnectionRefused) {
+            onConnectionRefused();
         }
     });
 }
@@ -582,6 +586,8 @@
     now_ = now;
     stopExpiredRuns(now);
     stopStalled(now);
+    finishAfterLeaseExpiry(now);
+    adoptPendingNotice(now);
     for (auto &[key, run] : runs_) {
         if (run.state == RunState::Stopping && run.stopAcceptedAt == NEVER && now >= run.stopRetryAt) {
             sendStop(key, run, now);
--- a/src/repeatable/repeatable_job_agent.h
+++ b/src/repeatable/repeatable_job_agent.h
@@ -7,7 +7,10 @@
 #include "repeatable/endpoint_api.h"
 #include "repeatable/endpoint_health.h"
 #include "repeatable/event_log.h"
+#include "repeatable/fencing_token.h"
+#include "repeatable/notice_order.h"
 #include "repeatable/repeatable_job_output.h"
+#include "repeatable/retry_pause.h"
 
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
@@ -154,18 +157,27 @@
     Reason refusalReason(Incarnation entry, const repeat::RunOrder &order, Instant now) const;
     void startQueued(Instant now);
     void start(const RunKey &key, Run &run, Instant now);
-    void onStartAnswer(const RunKey &key, const EndpointAnswer &answer);
+    void onStartAnswer(const RunKey &key, const EndpointCall &call, const EndpointAnswer &answer);
     void finishRefused(const RunKey &key, Run &run, Reason reason);
     void stop(const RunKey &key, Run &run, Reason reason, Instant now);
     void sendStop(const RunKey &key, Run &run, Instant now);
     void handBackQueued(Reason reason);
     bool isLeaving() const;
+    bool isPolled() const;
     void stopUnknownRun(const RunName &name, Instant now);
     void poll(Instant now);
     void pollImmediately(Instant now);
-    void onPollResult(const EndpointPollResult &result, Instant sentAt);
+    void onPollResult(const EndpointCall &call, const EndpointPollResult &result, Instant sentAt, std::uint64_t incarnation);
     void onPollFailure(Instant now);
-    void applyPollResult(const EndpointPollResult &result, Instant sentAt, Instant now);
+    void onFenced(std::uint64_t refusedToken, const EndpointAnswer &answer);
+    void onConnectionRefused();
+    void onOtherProcess(const EndpointCall &call);
+    void onDeregistration(const EndpointNotice &notice, Instant now);
+    void onNewProcess(const EndpointNotice &notice, Instant now);
+    void adoptProcess(const EndpointNotice &notice, Instant now);
+    void adoptPendingNotice(Instant now);
+    void finishAfterLeaseExpiry(Instant now);
+    void applyPollResult(const EndpointPollResult &result, Instant sentAt, std::uint64_t incarnation, Instant now);
     void stopStalled(Instant now);
     void processFinishedRuns(const EndpointPollResult &result, Instant now);
     void reconcileActiveRuns(const EndpointPollResult &result, Instant sentAt, Instant now);
@@ -196,10 +208,14 @@
     Resources used_; ///< Resources of all runs that may exist at the endpoint.
     Resources queuedDemand_; ///< Resources that queued runs will need.
     std::optional<EndpointNotice> notice_; ///< Newest announcement of the endpoint.
-    std::uint64_t newestStartUnixMs_ = 0; ///< Start time of the newest known incarnation of the endpoint.
+    std::optional<EndpointNotice> pendingNotice_; ///< Of another id or address, adopted when the runs of the former process have ended.
+    NoticeOrder noticeOrder_;
+    std::string confirmedAddress_; ///< Address at which the endpoint of the newest announcement has answered a poll.
+    bool isEndpointDoubtful_ = false; ///< Its process has not answered since some time, or another one answers at its address.
+    bool connectionsRefused_ = false; ///< A connection was refused since the last accepted poll.
     std::uint64_t generation_ = 0; ///< Incremented when all runs are lost; answers to earlier calls are then ignored.
     std::uint64_t endpointIncarnation_ = 0; ///< Counts incarnations of the endpoint; clocks in answers to earlier calls are ignored.
-    std::uint64_t fencingToken_ = 0; ///< See EndpointCall.
+    FencingToken fencingToken_;
     std::uint64_t endpointClockMs_ = 0; ///< Endpoint's clock at endpointClockReadAt_.
     Instant endpointClockReadAt_;
     std::uint64_t acknowledgedSequence_ = 0; ///< Highest sequence number of a finished run that has been processed.
@@ -209,6 +225,7 @@
     int shortPollsLeft_ = 0; ///< Number of further polls that use the short wait.
     bool responsive_ = false; ///< The endpoint answers polls.
     Instant nextPollAt_;
+    RetryPause pollPause_{Millis(10), Millis(200)}; ///< After polls that were refused or not answered.
     Instant leaseExpiry_; ///< No run can exist after this time unless the lease is extended again.
     Instant probationUntil_; ///< No other run is started before, so that a crash tells its cause.
     Instant startsBlockedUntil_; ///< No start is sent before this time, because the endpoint refused one for lack of resources.
--- a/src/repeatable/repeatable_job_agent_endpoint.cpp
+++ b/src/repeatable/repeatable_job_agent_endpoint.cpp
@@ -21,7 +21,7 @@
 constexpr int STALL_PERCENT = 40; ///< Percentage of the expected run time without progress after which a run counts as stalled.
 constexpr std::uint32_t FULL_PROGRESS = 100; ///< Progress, in percent, of a run that has done all its work but has not finished yet.
 constexpr Duration STALL_MARGIN = Millis(120); ///< Added to the stall limit, since progress is listed only by polls, at least every 150 ms.
-constexpr Duration POLL_RETRY_PAUSE = Millis(50); ///< Pause before the next poll of an unresponsive endpoint.
+constexpr Duration MIN_POLL_INTERVAL = Millis(10); ///< Between polls that list nothing new.
 constexpr Duration SUSPECT_WINDOW
     = Millis(50); ///< Runs started at most so long before the last one that the endpoint accepted are suspects of its crash.
 constexpr std::size_t CRASH_FORWARDERS = 2; ///< Entries that pass a crash on to all others; one of them may fail meanwhile.
@@ -33,42 +33,42 @@
 {
     now_ = now;
     if (notice.terminated) {
-        if (!notice_.has_value() || notice_->id != notice.id) {
-            return false;
-        }
-        log_.info(fmt::format("event=endpoint_gone endpoint={} held={}", notice.id, runs_.size()));
-        notice_->terminated = true;
-        finishAllAsLost(Reason::EndpointRestarted, now);
-        reportLoad(now);
+        onDeregistration(notice, now);
+        return notice_.has_value() && notice_->id == notice.id;
+    }
+    if (!notice_.has_value()) {
+        adoptProcess(notice, now);
         return true;
     }
-    const bool same = notice_.has_value() && notice.id == notice_->id && notice.startUnixMs == notice_->startUnixMs;
-    if (notice.startUnixMs < newestStartUnixMs_ || (same && notice.sequence <= notice_->sequence)) {
+    const EndpointNotice &current = pendingNotice_.has_value() ? *pendingNotice_ : *notice_;
+    const bool answers = pendingNotice_.has_value() || (!isEndpointDoubtful_ && !notice_->terminated);
+    const NoticeKind kind = noticeOrder_.judge(current, answers, notice, now);
+    if (kind == NoticeKind::Late) {
         counters_.add("agent_notices_late");
-        log_.info(
-            fmt::format("event=notice_ignored endpoint={} born={} seq={} reason=late", notice.id, notice.startUnixMs, notice.sequence));
+        log_.info(fmt::format("event=notice_ignored endpoint={} born={} seq={} reason=late newest_born={} newest_seq={}", notice.id,
+                              notice.startUnixMs, notice.sequence, current.startUnixMs, current.sequence));
         return false;
     }
-    if (!same) {
-        earlierDrained_ = notice_.has_value() && (notice_->draining || notice_->terminated);
-        if (notice_.has_value() && notice_->id == notice.id && !notice_->terminated) {
-            // Starts in flight may have been carried out by the new incarnation; its next list shows which runs exist.
-            log_.warn(fmt::format("event=endpoint_reborn endpoint={} born={} held={}", notice.id, notice.startUnixMs, runs_.size()));
-        } else {
-            finishAllAfterEnd(now);
-            responsive_ = false;
-            pollPending_ = false;
+    if (kind == NoticeKind::NewProcess) {
+        if (notice.startUnixMs < current.startUnixMs) {
+            counters_.add("agent_endpoint_starts_back");
+            log_.warn(fmt::format("event=endpoint_start_back endpoint={} born={} former_born={}", notice.id, notice.startUnixMs,
+                                  current.startUnixMs));
         }
-        beginIncarnation(notice.startUnixMs, notice.clockMs);
-        nextPollAt_ = now;
-        log_.info(fmt::format("event=endpoint_up endpoint={} service={} address={} born={} cpu={} mem_mb={} token={}", notice.id,
-                              notice.service, notice.address, notice.startUnixMs, notice.capacity.cpu, notice.capacity.memMb,
-                              fencingToken_));
-    } else if (notice.draining != notice_->draining) {
+        onNewProcess(notice, now);
+        return true;
+    }
+    if (pendingNotice_.has_value()) {
+        pendingNotice_ = notice;
+        return true;
+    }
+    if (notice.draining != notice_->draining) {
         log_.info(fmt::format("event=endpoint_state endpoint={} draining={} held={}", notice.id, notice.draining, runs_.size()));
     }
-    const bool shrunk = same && !notice_->capacity.fitsInto(notice.capacity);
+    const bool shrunk = !notice_->capacity.fitsInto(notice.capacity);
+    const std::uint64_t startUnixMs = notice.startUnixMs == 0 ? notice_->startUnixMs : notice.startUnixMs;
     notice_ = notice;
+    notice_->startUnixMs = startUnixMs;
     if (notice.draining) {
         handBackQueued(Reason::Leaving);
     } else if (shrunk) {
@@ -86,17 +86,81 @@
     return true;
 }
 
+void RepeatableJobAgent::onDeregistration(const EndpointNotice &notice, Instant now)
+{
+    if (pendingNotice_.has_value() && pendingNotice_->id == notice.id) {
+        pendingNotice_.reset();
+    }
+    if (!notice_.has_value() || notice_->id != notice.id) {
+        return;
+    }
+    if (notice.startUnixMs != 0 && notice_->startUnixMs != 0 && notice.startUnixMs != notice_->startUnixMs) {
+        counters_.add("agent_notices_late");
+        return;
+    }
+    // The endpoint may go on for seconds, so the runs that it may have are polled until there is evidence of their end.
+    log_.info(fmt::format("event=endpoint_gone endpoint={} held={} queued={}", notice.id, runs_.size(), queue_.size()));
+    notice_->terminated = true;
+    finishAllAsLost(Reason::EndpointRestarted, now);
+    reportLoad(now);
+}
+
+void RepeatableJobAgent::onNewProcess(const EndpointNotice &notice, Instant now)
+{
+    if (notice.id != notice_->id) {
+        finishAllAfterEnd(now);
+    }
+    adoptProcess(notice, now);
+}
+
+void RepeatableJobAgent::adoptProcess(const EndpointNotice &notice, Instant now)
+{
+    earlierDrained_ = notice_.has_value() && (notice_->draining || notice_->terminated);
+    if (notice_.has_value() && notice_->id == notice.id && notice_->address == notice.address) {
+        // Starts in flight may have been carried out by the new process; its next list shows which runs exist.
+        log_.warn(fmt::format("event=endpoint_reborn endpoint={} born={} held={}", notice.id, notice.startUnixMs, runs_.size()));
+    } else {
+        finishAllAsLost(Reason::EndpointRestarted, now);
+        confirmedAddress_.clear();
+    }
+    isEndpointDoubtful_ = false;
+    pollPause_.reset();
+    beginIncarnation(notice.startUnixMs, notice.clockMs);
+    log_.info(fmt::format("event=endpoint_up endpoint={} service={} address={} born={} cpu={} mem_mb={} token={}", notice.id,
+                          notice.service, notice.address, notice.startUnixMs, notice.capacity.cpu, notice.capacity.memMb,
+                          fencingToken_.value()));
+    notice_ = notice;
+    if (notice.draining) {
+        handBackQueued(Reason::Leaving);
+    }
+    updateEndpointClock(notice.clockMs, now);
+    markDirty();
+    nextPollAt_ = now;
+    if (!pollPending_) {
+        poll(now);
+    }
+    reportLoad(now);
+}
+
+void RepeatableJobAgent::adoptPendingNotice(Instant now)
+{
+    if (!pendingNotice_.has_value() || runs_.size() > queue_.size()) {
+        return;
+    }
+    const EndpointNotice notice = *pendingNotice_;
+    pendingNotice_.reset();
+    adoptProcess(notice, now);
+}
+
 void RepeatableJobAgent::beginIncarnation(std::uint64_t startUnixMs, std::uint64_t clockMs)
 {
     ++endpointIncarnation_;
-    newestStartUnixMs_ = startUnixMs;
     health_.reset();
     probationUntil_ = Instant();
     hasForeignRuns_ = false;
     acknowledgedSequence_ = 0;
     endpointClockMs_ = 0;
-    // With a higher token, the endpoint refuses delayed calls that were sent to an earlier incarnation.
-    fencingToken_ = std::max(fencingToken_ + 1, clockMs);
+    fencingToken_.beginProcess(startUnixMs, clockMs);
 }
 
 void RepeatableJobAgent::updateEndpointClock(std::uint64_t clockMs, Instant now)
@@ -107,9 +171,14 @@
     }
 }
 
+bool RepeatableJobAgent::isPolled() const
+{
+    return notice_.has_value() && ((!notice_->terminated && !pendingNotice_.has_value()) || !runs_.empty());
+}
+
 void RepeatableJobAgent::poll(Instant now)
 {
-    if (!notice_.has_value() || notice_->terminated) {
+    if (!isPolled()) {
         return;
     }
     pollPending_ = true;
@@ -121,64 +190,73 @@
     }
     shortPollsLeft_ = std::max(0, shortPollsLeft_ - 1);
     // Without a started run of this process, runs of an earlier one must not live on by a longer lease.
-    EndpointCall call = makeCall(responsive_ && runs_.size() > queue_.size(), now);
+    EndpointCall call = makeCall(responsive_ && !pendingNotice_.has_value() && runs_.size() > queue_.size(), now);
     call.timeout = wait + POLL_TIMEOUT;
     const std::uint64_t generation = generation_;
-    endpoint_.poll(call, acknowledgedSequence_, wait, [this, generation, now](const EndpointPollResult &result) {
-        now_ = result.answer.at;
-        if (generation == generation_) {
-            pollPending_ = false;
-            onPollResult(result, now);
-        }
-    });
+    endpoint_.poll(call, acknowledgedSequence_, wait,
+                   [this, call, generation, incarnation = endpointIncarnation_, now](const EndpointPollResult &result) {
+                       now_ = result.answer.at;
+                       if (generation == generation_) {
+                           pollPending_ = false;
+                           onPollResult(call, result, now, incarnation);
+                       }
+                   });
 }
 
 void RepeatableJobAgent::pollImmediately(Instant now)
 {
-    if (immediatePollPending_ || !notice_.has_value() || notice_->terminated) {
+    if (immediatePollPending_ || !isPolled() || isEndpointDoubtful_) {
         return;
     }
     immediatePollPending_ = true;
     EndpointCall call = makeCall(false, now);
     call.timeout = POLL_TIMEOUT;
     const std::uint64_t generation = generation_;
-    endpoint_.poll(call, acknowledgedSequence_, Millis(0), [this, generation, now](const EndpointPollResult &result) {
-        now_ = result.answer.at;
-        if (generation != generation_) {
-            return;
-        }
-        immediatePollPending_ = false;
-        if (result.answer.status == EndpointCallStatus::Accepted) {
-            applyPollResult(result, now, now_);
-            startQueued(now_);
-            reportLoad(now_);
-        }
-    });
+    endpoint_.poll(call, acknowledgedSequence_, Millis(0),
+                   [this, call, generation, incarnation = endpointIncarnation_, now](const EndpointPollResult &result) {
+                       now_ = result.answer.at;
+                       if (generation != generation_) {
+                           return;
+                       }
+                       immediatePollPending_ = false;
+                       if (result.answer.status == EndpointCallStatus::Accepted) {
+                           applyPollResult(result, now, incarnation, now_);
+                           startQueued(now_);
+                           reportLoad(now_);
+                       } else if (result.answer.status == EndpointCallStatus::OtherIncarnation) {
+                           onOtherProcess(call);
+                       }
+                   });
 }
 
-void RepeatableJobAgent::onPollResult(const EndpointPollResult &result, Instant sentAt)
+void RepeatableJobAgent::onPollResult(const EndpointCall &call, const EndpointPollResult &result, Instant sentAt, std::uint64_t incarnation)
 {
     const Instant now = now_;
+    const std::uint64_t acknowledgedBefore = acknowledgedSequence_;
     switch (result.answer.status) {
     case EndpointCallStatus::Accepted:
         missedPolls_ = 0;
+        pollPause_.reset();
+        connectionsRefused_ = false;
+        isEndpointDoubtful_ = false;
+        confirmedAddress_ = call.address;
         if (!responsive_) {
             responsive_ = true;
             log_.info(fmt::format("event=endpoint_answers endpoint={} present={}", notice_->id, result.active.size()));
             markDirty();
         }
-        applyPollResult(result, sentAt, now);
-        nextPollAt_ = now;
+        applyPollResult(result, sentAt, incarnation, now);
+        // An endpoint that does not wait must not be polled in a loop.
+        nextPollAt_ = acknowledgedSequence_ > acknowledgedBefore ? now : std::max(now, sentAt + MIN_POLL_INTERVAL);
         break;
     case EndpointCallStatus::Fenced:
-        fencingToken_ = std::max(fencingToken_ + 1, result.answer.clockMs);
-        log_.warn(fmt::format("event=fenced endpoint={} new_token={}", notice_->id, fencingToken_));
-        nextPollAt_ = now;
+        onFenced(call.fencingToken, result.answer);
         break;
     case EndpointCallStatus::ConnectionRefused:
+        onConnectionRefused();
+        break;
     case EndpointCallStatus::OtherIncarnation:
-        finishAllAfterEnd(now);
-        nextPollAt_ = now + POLL_RETRY_PAUSE * 4;
+        onOtherProcess(call);
         break;
     default:
         onPollFailure(now);
@@ -191,35 +269,79 @@
     reportLoad(now);
 }
 
+void RepeatableJobAgent::onFenced(std::uint64_t refusedToken, const EndpointAnswer &answer)
+{
+    counters_.add("agent_fenced");
+    if (!fencingToken_.onRefused(refusedToken, answer.clockMs)) {
+        return; // One of several calls with the same token.
+    }
+    // Nothing is started until a poll with the higher token is accepted and lists what the earlier holder has left.
+    responsive_ = false;
+    nextPollAt_ = now_ + pollPause_.onFailure();
+    log_.warn(fmt::format("event=fenced endpoint={} refused_token={} new_token={} next_poll_ms={}", notice_->id, refusedToken,
+                          fencingToken_.value(), toMillis(nextPollAt_ - now_)));
+    handBackQueued(Reason::Fenced);
+    markDirty();
+}
+
+void RepeatableJobAgent::onConnectionRefused()
+{
+    finishAllAfterEnd(now_);
+    isEndpointDoubtful_ = true;
+    nextPollAt_ = now_ + pollPause_.onFailure();
+}
+
+void RepeatableJobAgent::onOtherProcess(const EndpointCall & /*call*/)
+{
+    onConnectionRefused();
+}
+
 void RepeatableJobAgent::onPollFailure(Instant now)
 {
     ++missedPolls_;
     shortPollsLeft_ = SHORT_POLL_COUNT;
     counters_.add("agent_looks_unanswered");
-    nextPollAt_ = now;
+    nextPollAt_ = now + pollPause_.onFailure();
     if (missedPolls_ < MISSED_POLLS_LIMIT) {
         return; // A single lost answer does no harm: the next poll extends the lease in time.
     }
+    isEndpointDoubtful_ = true;
     if (responsive_) {
         responsive_ = false;
         log_.warn(fmt::format("event=endpoint_silent endpoint={} held={} looks_missed={}", notice_->id, runs_.size(), missedPolls_));
         markDirty();
     }
-    if (now > leaseExpiry_ + settings_.maxStopTime + CLOCK_TOLERANCE) {
+}
+
+void RepeatableJobAgent::finishAfterLeaseExpiry(Instant now)
+{
+    if (responsive_ || runs_.empty() || now <= leaseExpiry_ + settings_.maxStopTime + CLOCK_TOLERANCE) {
+        return;
+    }
+    if (connectionsRefused_) {
+        finishAllAfterEnd(now);
+    } else {
         finishAllAsLost(Reason::LeaseLapsed, now);
     }
-    nextPollAt_ = now + POLL_RETRY_PAUSE;
 }
 
-void RepeatableJobAgent::applyPollResult(const EndpointPollResult &result, Instant sentAt, Instant now)
+void RepeatableJobAgent::applyPollResult(const EndpointPollResult &result, Instant sentAt, std::uint64_t incarnation, Instant now)
 {
-    if (result.startUnixMs != 0 && result.startUnixMs < notice_->startUnixMs) {
+    const bool isOtherProcess = result.startUnixMs != 0 && result.startUnixMs != notice_->startUnixMs;
+    // An answer to a call that was made before the newest process was known may come from an earlier one.
+    if (incarnation != endpointIncarnation_ && (result.startUnixMs == 0 || result.startUnixMs < notice_->startUnixMs)) {
         counters_.add("agent_views_late");
-        return; // The list is from an earlier incarnation.
+        return;
     }
-    if (result.startUnixMs > notice_->startUnixMs) {
-        log_.warn(fmt::format("event=endpoint_reborn endpoint={} born={} held={}", notice_->id, result.startUnixMs, runs_.size()));
-        earlierDrained_ = notice_->draining;
+    if (isOtherProcess && notice_->startUnixMs == 0) {
+        notice_->startUnixMs = result.startUnixMs;
+    } else if (isOtherProcess) {
+        if (result.startUnixMs < notice_->startUnixMs) {
+            counters_.add("agent_endpoint_starts_back");
+        }
+        log_.warn(fmt::format("event=endpoint_reborn endpoint={} born={} former_born={} held={}", notice_->id, result.startUnixMs,
+                              notice_->startUnixMs, runs_.size()));
+        earlierDrained_ = notice_->draining || notice_->terminated;
         notice_->startUnixMs = result.startUnixMs;
         notice_->sequence = 0;
         beginIncarnation(result.startUnixMs, result.answer.clockMs);
--- a/tests/repeatable/agent_evidence_test.cpp
+++ b/tests/repeatable/agent_evidence_test.cpp
@@ -2,7 +2,9 @@
 
 #include "agent_fixture.h"
 
+#include <array>
 #include <doctest/doctest.h>
+#include <memory>
 
 namespace
 {
@@ -10,6 +12,138 @@
 using namespace medlarmill;
 using namespace medlarmill::fake;
 
+constexpr std::uint64_t TWO_HOURS_MS = 7'200'000;
+constexpr std::uint64_t LARGEST_TOKEN = (std::uint64_t{1} << 53U) - 1; ///< Largest number that JSON parsers keep exactly.
+constexpr Duration HEARTBEAT = Millis(1'500);
+
+/** Agent processes that follow each other at one endpoint, and heartbeats of the endpoint. */
+struct SuccessionFixture : AgentFixture
+{
+    /** Ends the present agent process and starts another. */
+    void restartAgent()
+    {
+        api.pending.clear();
+        successor = std::make_unique<RepeatableJobAgent>(RepeatableJobAgentSettings{"agent", "a", Incarnation{++incarnation}}, recorder,
+                                                         api, log);
+        successor->onEntryUp(ENTRY, now);
+        successor->onNotice(api.endpoint.notice(now), now);
+    }
+
+    RepeatableJobAgent &current()
+    {
+        return successor != nullptr ? *successor : agent;
+    }
+
+    /** Lets time pass with heartbeats. @return how long it took until the agent accepted work; `limit` if it did not. */
+    Duration timeUntilServing(Duration limit)
+    {
+        Instant nextHeartbeat = now + HEARTBEAT;
+        for (const Instant begin = now; now < begin + limit; now += Millis(10)) {
+            recorder.sent.clear();
+            if (now >= nextHeartbeat) {
+                nextHeartbeat += HEARTBEAT;
+                current().onNotice(api.endpoint.notice(now), now);
+            }
+            api.executePending(now);
+            current().tick(now);
+            for (const repeat::Message &message : recorder.sent) {
+                if (message.has_load_report() && message.load_report().accepting()) {
+                    return now - begin;
+                }
+            }
+        }
+        return limit;
+    }
+
+    std::unique_ptr<RepeatableJobAgent> successor;
+    std::uint64_t incarnation = 100;
+};
+
+}
+
+TEST_CASE_FIXTURE(SuccessionFixture, "an agent that starts after the restart of its endpoint gets past the fencing token of an earlier one")
+{
+    api.endpoint.clockStartMs = TWO_HOURS_MS;
+    restartAgent();
+    CHECK(timeUntilServing(Millis(5'000)) < Millis(500));
+    api.endpoint.keepsId = true;
+    api.endpoint.clockStartMs = 1;
+    api.endpoint.crash(now);
+    current().onNotice(api.endpoint.notice(now), now);
+    runFor(Millis(100));
+    CHECK(timeUntilServing(Millis(5'000)) < Millis(500));
+    restartAgent();
+    api.pollCalls = 0;
+    CHECK(timeUntilServing(Millis(8'000)) < Millis(4'000));
+    CHECK(api.pollCalls < 25); // Logarithmic in the 7,200,000 ms by which the clock was reset.
+}
+
+TEST_CASE_FIXTURE(SuccessionFixture, "the fencing token of a later holder exceeds earlier ones, whatever restarts and clocks do")
+{
+    for (std::uint64_t seed = 0; seed < 24; ++seed) {
+        CAPTURE(seed);
+        const std::uint64_t before = api.lastPoll.fencingToken;
+        const bool restartsEndpoint = seed % 3 != 1;
+        const bool restartsAgent = seed % 3 != 0;
+        if (restartsEndpoint) {
+            api.endpoint.keepsId = seed % 2 == 0;
+            api.endpoint.clockStartMs = seed % 4 == 0 ? TWO_HOURS_MS * seed : 1;
+            api.endpoint.wallClockOffsetMs = (seed % 5 == 0 ? -1 : 1) * static_cast<std::int64_t>(seed * 10'000'000);
+            api.endpoint.announcedStartMs = seed % 7 == 6 ? std::optional<std::uint64_t>(0) : std::nullopt;
+            api.endpoint.crash(now);
+        }
+        now += Millis(1'000);
+        if (restartsAgent) {
+            restartAgent();
+        } else {
+            current().onNotice(api.endpoint.notice(now), now);
+            timeUntilServing(Millis(50));
+        }
+        api.pollCalls = 0;
+        CHECK(timeUntilServing(Millis(15'000)) < Millis(12'000));
+        CHECK(api.pollCalls < 80);
+        timeUntilServing(Millis(50));
+        // If both restart, neither knows the earlier token. Without a start time, the restart of the endpoint is not noticed at once.
+        if (!restartsEndpoint || (!restartsAgent && !api.endpoint.announcedStartMs.has_value())) {
+            CHECK(api.lastPoll.fencingToken > before);
+        }
+        CHECK(api.lastPoll.fencingToken <= LARGEST_TOKEN);
+    }
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "no answer of the endpoint makes the agent poll without a pause")
+{
+    for (const auto status : {EndpointCallStatus::Accepted, EndpointCallStatus::Fenced, EndpointCallStatus::ConnectionRefused,
+                              EndpointCallStatus::OtherIncarnation, EndpointCallStatus::Unhealthy, EndpointCallStatus::NoAnswer}) {
+        CAPTURE(static_cast<int>(status));
+        api.fault = status;
+        api.firstFaultyCall = 1;
+        api.lastFaultyCall = 1'000'000;
+        api.pollCalls = 0;
+        for (int step = 0; step < 1'000; ++step, now += Millis(1)) {
+            api.executePending(now);
+            agent.tick(now);
+        }
+        CHECK(api.pollCalls <= (status == EndpointCallStatus::Accepted ? 110 : 25));
+    }
+}
+
+TEST_CASE_FIXTURE(SuccessionFixture, "a process of the endpoint whose start time is before that of the former one is served")
+{
+    for (const bool keepsId : {true, false}) {
+        for (const bool tellsStart : {true, false}) {
+            CAPTURE(keepsId);
+            CAPTURE(tellsStart);
+            api.endpoint.keepsId = keepsId;
+            api.endpoint.wallClockOffsetMs -= 600'000;
+            api.endpoint.announcedStartMs = tellsStart ? std::nullopt : std::optional<std::uint64_t>(0);
+            api.endpoint.crash(now);
+            now += Millis(10);
+            agent.onNotice(api.endpoint.notice(now), now);
+            runFor(Millis(600)); // The agent notices that the former process is gone.
+            CHECK(timeUntilServing(Millis(6'000)) < Millis(4'000));
+        }
+    }
 }
 
 TEST_CASE_FIXTURE(AgentFixture, "after the acknowledgement of a drain, nothing is started and what waits is returned")
--- a/tests/repeatable/repeatable_job_agent_test.cpp
+++ b/tests/repeatable/repeatable_job_agent_test.cpp
@@ -110,7 +110,7 @@
     EndpointCall call;
     const EndpointNotice notice = api.endpoint.notice(now);
     call.endpointId = notice.id;
-    call.fencingToken = notice.clockMs;
+    call.fencingToken = notice.startUnixMs + notice.clockMs;
     call.leaseExpiryMs = notice.clockMs + 500;
     for (std::uint32_t index = 0; index < 5; ++index) {
         const EndpointAnswer answer = api.endpoint.start(call, {"earlier", 0, index, 1}, Millis(400), false, {3'000, 64, 0}, now);
@@ -167,7 +167,7 @@
     EndpointCall call;
     const EndpointNotice notice = api.endpoint.notice(now);
     call.endpointId = notice.id;
-    call.fencingToken = notice.clockMs;
+    call.fencingToken = notice.startUnixMs + notice.clockMs;
     api.endpoint.stop(call, {"j1", 0, 0, 1}, now);
     now += Millis(30);
     constexpr std::uint64_t ALL_ENDS = 100;
--- a/tests/repeatable/repeatable_job_world.h
+++ b/tests/repeatable/repeatable_job_world.h
@@ -38,6 +38,9 @@
     StopAgent, ///< The agent stops as planned: it drains, ends and restarts.
     StalledRuns, ///< Runs at the endpoint make no progress.
     ShrinkEndpoint, ///< The endpoint has less than half of its capacity, and announces it.
+    RefusedConnections, ///< Connections to the endpoint are refused although it goes on.
+    UnheardDeregistration, ///< The endpoint deregisters, gets no answer and goes on.
+    ClockSetBack, ///< The endpoint restarts at once under the same id; its wall clock was set back, and its clock starts elsewhere.
 };
 
 constexpr int FAULT_KINDS = static_cast<int>(Fault::ShrinkEndpoint) + 1;
--- a/tests/repeatable/repeatable_job_world_faults.cpp
+++ b/tests/repeatable/repeatable_job_world_faults.cpp
@@ -115,6 +115,23 @@
     case Fault::ShrinkEndpoint:
         agentNode.endpoint.resize({7'000, 4'096, 0}, now_);
         break;
+    case Fault::RefusedConnections:
+        ++agentNode.refusing;
+        break;
+    case Fault::UnheardDeregistration:
+        agentNode.schedule(NETWORK_DELAY, [&agentNode, id = agentNode.endpoint.notice(now_).id] {
+            EndpointNotice gone;
+            gone.id = id;
+            gone.terminated = true;
+            agentNode.core->onNotice(gone, agentNode.world.now_);
+        });
+        break;
+    case Fault::ClockSetBack:
+        agentNode.endpoint.keepsId = true;
+        agentNode.endpoint.wallClockOffsetMs -= 600'000;
+        agentNode.endpoint.clockStartMs = random_() % 7'200'000;
+        agentNode.endpoint.crash(now_);
+        break;
     }
 }
 
@@ -180,6 +197,9 @@
     case Fault::ShrinkEndpoint:
         agentNode.endpoint.resize(FULL_CAPACITY, now_);
         break;
+    case Fault::RefusedConnections:
+        --agentNode.refusing;
+        break;
     default:
         break;
     }
--- a/tests/repeatable/repeatable_job_world_nodes.h
+++ b/tests/repeatable/repeatable_job_world_nodes.h
@@ -158,7 +158,7 @@
     void callEndpoint(const EndpointCall &call, std::function<EndpointAnswer()> execute, std::function<void(EndpointAnswer)> done)
     {
         done = whileThisProcessRuns(std::move(done));
-        if (!endpoint.up) {
+        if (!endpoint.up || refusing > 0) {
             schedule(NETWORK_DELAY, [this, done] {
                 EndpointAnswer answer;
                 answer.status = EndpointCallStatus::ConnectionRefused;
@@ -224,8 +224,8 @@
     void poll(const EndpointCall &call, std::uint64_t acknowledged, Millis wait, std::function<void(EndpointPollResult)> done) override
     {
         done = whileThisProcessRuns(std::move(done));
-        if (!endpoint.up || unresponsive > 0) {
-            const bool refused = !endpoint.up;
+        if (!endpoint.up || refusing > 0 || unresponsive > 0) {
+            const bool refused = !endpoint.up || refusing > 0;
             schedule(refused ? NETWORK_DELAY : call.timeout, [this, done, refused] {
                 EndpointPollResult result;
                 result.answer.at = world.now_;
@@ -274,6 +274,7 @@
     int delayedCalls = 0;
     int lostReplies = 0;
     int failing = 0;
+    int refusing = 0;
 };
 
 }
