Fix: A run counts as ended only by a list, its lease or a newer process

Cause: an agent gave its runs up when the endpoint deregistered, when a single connection was refused, or when an endpoint with another id announced itself, although the endpoint may go on for seconds; the tasks started elsewhere beside the first runs.

--- a/src/repeatable/repeatable_job_agent_endpoint.cpp
+++ b/src/repeatable/repeatable_job_agent_endpoint.cpp
@@ -101,16 +101,27 @@
     // The endpoint may go on for seconds, so the runs that it may have are polled until there is evidence of their end.
     log_.info(fmt::format("event=endpoint_gone endpoint={} held={} queued={}", notice.id, runs_.size(), queue_.size()));
     notice_->terminated = true;
-    finishAllAsLost(Reason::EndpointRestarted, now);
+    handBackQueued(Reason::Leaving);
+    markDirty();
     reportLoad(now);
 }
 
 void RepeatableJobAgent::onNewProcess(const EndpointNotice &notice, Instant now)
 {
-    if (notice.id != notice_->id) {
-        finishAllAfterEnd(now);
+    const bool replacesFormer = notice.id == notice_->id && notice.address == notice_->address;
+    if (replacesFormer || runs_.size() == queue_.size()) {
+        adoptProcess(notice, now);
+        return;
     }
-    adoptProcess(notice, now);
+    // The former process may still have its runs. Without longer leases they end soon; an answer that another process is there tells it at
+    // once.
+    log_.info(fmt::format("event=endpoint_pending endpoint={} born={} former={} held={}", notice.id, notice.startUnixMs, notice_->id,
+                          runs_.size()));
+    pendingNotice_ = notice;
+    handBackQueued(Reason::EndpointRestarted);
+    markDirty();
+    pollImmediately(now);
+    reportLoad(now);
 }
 
 void RepeatableJobAgent::adoptProcess(const EndpointNotice &notice, Instant now)
@@ -286,14 +297,35 @@
 
 void RepeatableJobAgent::onConnectionRefused()
 {
-    finishAllAfterEnd(now_);
+    counters_.add("agent_connections_refused");
+    if (responsive_) {
+        log_.warn(fmt::format("event=endpoint_refuses_connections endpoint={} address={} held={} lease_left_ms={}", notice_->id,
+                              notice_->address, runs_.size(), toMillis(std::max(Duration(0), leaseExpiry_ - now_))));
+    }
+    responsive_ = false;
+    connectionsRefused_ = true;
     isEndpointDoubtful_ = true;
     nextPollAt_ = now_ + pollPause_.onFailure();
+    handBackQueued(Reason::EndpointAbsent);
+    markDirty();
 }
 
-void RepeatableJobAgent::onOtherProcess(const EndpointCall & /*call*/)
+void RepeatableJobAgent::onOtherProcess(const EndpointCall &call)
 {
-    onConnectionRefused();
+    const bool isEvidence = call.endpointId == notice_->id && call.address == confirmedAddress_;
+    log_.warn(fmt::format("event=endpoint_replaced endpoint={} address={} held={} evidence={:d}", call.endpointId, call.address,
+                          runs_.size(), isEvidence));
+    responsive_ = false;
+    isEndpointDoubtful_ = true;
+    if (isEvidence) {
+        // One process listens at an address, and it answered there under this id before.
+        finishAllAfterEnd(now_);
+    } else {
+        handBackQueued(Reason::EndpointAbsent);
+    }
+    nextPollAt_ = now_ + pollPause_.onFailure();
+    adoptPendingNotice(now_);
+    markDirty();
 }
 
 void RepeatableJobAgent::onPollFailure(Instant now)
--- a/tests/repeatable/agent_evidence_test.cpp
+++ b/tests/repeatable/agent_evidence_test.cpp
@@ -59,6 +59,14 @@
     std::uint64_t incarnation = 100;
 };
 
+EndpointNotice makeDeregistration(const EndpointNotice &notice)
+{
+    EndpointNotice gone;
+    gone.id = notice.id;
+    gone.terminated = true;
+    return gone;
+}
+
 }
 
 TEST_CASE_FIXTURE(SuccessionFixture, "an agent that starts after the restart of its endpoint gets past the fencing token of an earlier one")
@@ -146,6 +154,95 @@
     }
 }
 
+TEST_CASE_FIXTURE(AgentFixture, "runs of an endpoint that deregisters end only when they end there")
+{
+    for (std::uint64_t number = 1; number <= 7; ++number) {
+        sendOrder(number);
+    }
+    runFor(Millis(20));
+    agent.onNotice(makeDeregistration(api.endpoint.notice(now)), now);
+    const auto first = reports();
+    REQUIRE(first.size() == 2); // Those that waited.
+    for (const repeat::RunReport &report : first) {
+        CHECK(report.outcome() == repeat::RUN_NOT_STARTED);
+        CHECK(static_cast<Reason>(report.reason()) == Reason::Leaving);
+    }
+    CHECK(falselyEnded() == 0);
+    sendOrder(8);
+    CHECK(static_cast<Reason>(reports().back().reason()) == Reason::EndpointAbsent);
+    runFor(Millis(200));
+    CHECK(std::ranges::count(reports(), repeat::RUN_DONE, &repeat::RunReport::outcome) == 5);
+    agent.onNotice(api.endpoint.notice(now), now); // Its response was lost, and it stays.
+    sendOrder(9);
+    runFor(Millis(200));
+    CHECK(reports().back().outcome() == repeat::RUN_DONE);
+}
+
+TEST_CASE("no run counts as ended while the endpoint has it, whichever calls fail and however")
+{
+    for (const auto status : {EndpointCallStatus::ConnectionRefused, EndpointCallStatus::NoAnswer, EndpointCallStatus::Fenced}) {
+        for (int first = 1; first <= 8; ++first) {
+            for (int step = 0; step < 6; ++step) {
+                AgentFixture fixture;
+                fixture.api.endpoint.clockRate = 0.98;
+                fixture.api.endpoint.crash(fixture.now);
+                fixture.agent.onNotice(fixture.api.endpoint.notice(fixture.now), fixture.now);
+                fixture.runFor(Millis(60));
+                fixture.api.endpoint.slowdown = 20; // The run outlives the fault unless its lease expires.
+                fixture.api.fault = status;
+                fixture.api.firstFaultyCall = fixture.api.calls + first;
+                fixture.api.lastFaultyCall = fixture.api.firstFaultyCall + 1 + 30 * (step % 2);
+                fixture.sendOrder(1);
+                std::ptrdiff_t falselyEnded = 0;
+                for (int tick = 0; tick < 150; ++tick) {
+                    if (step / 2 == 1 && tick == 5) {
+                        fixture.agent.onNotice(makeDeregistration(fixture.api.endpoint.notice(fixture.now)), fixture.now);
+                    }
+                    if (step / 2 == 2 && tick == 5) {
+                        // Another endpoint announces itself here, at another address.
+                        EndpointNotice other = fixture.api.endpoint.notice(fixture.now);
+                        other.id = "i-other";
+                        other.address = "127.0.0.1:2";
+                        ++other.startUnixMs;
+                        fixture.agent.onNotice(other, fixture.now);
+                    }
+                    fixture.runFor(Millis(10));
+                    falselyEnded += fixture.falselyEnded();
+                }
+                CAPTURE(static_cast<int>(status));
+                CAPTURE(first);
+                CAPTURE(step);
+                CHECK(falselyEnded == 0);
+            }
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "runs of a crashed endpoint are over when a newer process answers, or when their lease has expired")
+{
+    api.endpoint.slowdown = 20;
+    sendOrder(1);
+    runFor(Millis(40));
+    api.endpoint.crash(now);
+    agent.onNotice(api.endpoint.notice(now), now);
+    runFor(Millis(50));
+    REQUIRE(reports().size() == 1);
+    CHECK(static_cast<Reason>(reports()[0].reason()) == Reason::EndpointCrashed);
+    runFor(Millis(50));
+    sendOrder(2);
+    runFor(Millis(40));
+    api.fault = EndpointCallStatus::ConnectionRefused;
+    api.firstFaultyCall = 1;
+    api.lastFaultyCall = 1'000'000;
+    runFor(Millis(20)); // Calls in flight are answered.
+    api.endpoint.crash(now);
+    runFor(Millis(400));
+    CHECK(reports().size() == 1);
+    runFor(Millis(300));
+    REQUIRE(reports().size() == 2);
+    CHECK(static_cast<Reason>(reports()[1].reason()) == Reason::EndpointCrashed);
+}
+
 TEST_CASE_FIXTURE(AgentFixture, "after the acknowledgement of a drain, nothing is started and what waits is returned")
 {
     for (std::uint64_t number = 1; number <= 7; ++number) {
--- a/tests/repeatable/repeatable_job_world.h
+++ b/tests/repeatable/repeatable_job_world.h
@@ -43,7 +43,7 @@
     ClockSetBack, ///< The endpoint restarts at once under the same id; its wall clock was set back, and its clock starts elsewhere.
 };
 
-constexpr int FAULT_KINDS = static_cast<int>(Fault::ShrinkEndpoint) + 1;
+constexpr int FAULT_KINDS = static_cast<int>(Fault::ClockSetBack) + 1;
 
 /** One injected fault. */
 struct FaultEvent
