Codechange: The simulation plays refused connections, unheard deregistrations and clocks that are set back

Change: a fixed series of each kind, 250 ms of every 300 ms, at one agent after the other, under 25 jobs/s with three entries and four agents.

--- a/tests/repeatable/repeatable_job_fuzz_test.cpp
+++ b/tests/repeatable/repeatable_job_fuzz_test.cpp
@@ -119,6 +119,24 @@
     CHECK(countViolations(earlyRetryEntry, {}) > 0);
 }
 
+TEST_CASE("runs of endpoints that refuse connections, or deregister unheard, and go on are not started elsewhere beside them")
+{
+    for (const Fault kind : {Fault::RefusedConnections, Fault::UnheardDeregistration, Fault::ClockSetBack}) {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            RepeatableJobWorld world(seed, 3, 4);
+            std::vector<FaultEvent> faults;
+            for (int at = 500; at < LOAD_MS; at += 300) {
+                faults.push_back({kind, at, 250, at / 300});
+            }
+            world.run(faults, LOAD_MS, 25);
+            CAPTURE(static_cast<int>(kind));
+            CAPTURE(seed);
+            CHECK(world.oracle().violations.size() == 0);
+            CHECK(world.recovered());
+        }
+    }
+}
+
 TEST_CASE("stalled runs are detected and their tasks run elsewhere")
 {
     RepeatableJobWorld world(6, 3, 4);
