--- a/src/repeatable/endpoint_api.h
+++ b/src/repeatable/endpoint_api.h
@@ -21,8 +21,8 @@
     Unhealthy, ///< Refused: the endpoint is unhealthy; nothing was done.
     Malformed, ///< Refused: malformed call; nothing was done.
     OtherProcess, ///< The process at the address is not the one that `expectedStartMs` names; nothing was sent to it.
-    OtherIncarnation, ///< Another incarnation of the endpoint answered at this address.
-    ConnectionRefused, ///< Nothing listens at the address.
+    OtherIncarnation, ///< A process with another instance id answered at this address; nothing was done.
+    ConnectionRefused, ///< The connection was refused: the call was not sent. No evidence that the process has ended.
     NoAnswer, ///< No answer in time; the call may have been carried out, or may still be carried out seconds later.
 };
 
@@ -31,7 +31,7 @@
 {
     std::string address; ///< Address of the endpoint, `IP:port`.
     std::string endpointId; ///< Instance id of the intended endpoint.
-    std::uint64_t fencingToken = 0; ///< Increases with every restart of agent or endpoint; calls with a lower token are refused.
+    std::uint64_t fencingToken = 0; ///< See FencingToken; calls with a lower one are refused.
     std::uint64_t leaseExpiryMs = 0; ///< When the lease of all runs at the endpoint expires, on its clock; 0 leaves the lease unchanged.
     Duration timeout{0}; ///< Time limit for the answer.
     std::uint64_t expectedStartMs = 0; ///< For a start: the process that it is for, by its start time in Unix ms; 0 is not checked.
--- a/src/repeatable/repeatable_job_agent.cpp
+++ b/src/repeatable/repeatable_job_agent.cpp
@@ -151,8 +151,8 @@
 
 bool RepeatableJobAgent::isAccepting(Instant now) const
 {
-    return isEndpointDescribed() && !notice_->draining && !notice_->terminated && !draining_ && !isEvacuated() && responsive_
-        && !health_.isCircuitOpen(now) && runs_.size() < health_.runLimit() && now >= probationUntil_;
+    return isEndpointDescribed() && !isLeaving() && !isEvacuated() && responsive_ && !health_.isCircuitOpen(now)
+        && runs_.size() < health_.runLimit() && now >= probationUntil_;
 }
 
 bool RepeatableJobAgent::isEndpointDescribed() const
@@ -160,6 +160,11 @@
     return notice_.has_value() && notice_->startUnixMs == describedStartUnixMs_;
 }
 
+bool RepeatableJobAgent::isLeaving() const
+{
+    return draining_ || pendingNotice_.has_value() || (notice_.has_value() && (notice_->draining || notice_->terminated));
+}
+
 Resources RepeatableJobAgent::freeResources() const
 {
     Resources available = notice_.has_value() ? notice_->capacity : Resources();
@@ -183,7 +188,7 @@
     if (!isEndpointDescribed() || (order.endpoint_start_ms() != 0 && order.endpoint_start_ms() != notice_->startUnixMs)) {
         return Reason::EndpointRestarted;
     }
-    if (notice_->draining || draining_) {
+    if (isLeaving()) {
         return Reason::Leaving;
     }
     if (!isAccepting(now)) {
@@ -243,7 +248,7 @@
 
 void RepeatableJobAgent::startQueued(Instant now)
 {
-    if (!isEndpointDescribed() || !responsive_ || hasForeignRuns_ || isEvacuated() || now < startsBlockedUntil_) {
+    if (!isEndpointDescribed() || isLeaving() || !responsive_ || hasForeignRuns_ || isEvacuated() || now < startsBlockedUntil_) {
         return;
     }
     auto next = queue_.begin();
@@ -268,7 +273,7 @@
     EndpointCall call;
     call.address = notice_->address;
     call.endpointId = notice_->id;
-    call.fencingToken = fencingToken_;
+    call.fencingToken = fencingToken_.value();
     if (extendLease) {
         call.leaseExpiryMs = endpointClockMs_ + toMillis(now - endpointClockReadAt_) + toMillis(settings_.lease);
         // The endpoint's clock may run up to 2% slow.
@@ -291,19 +296,20 @@
     run.startExpiry = leaseExpiry_;
     counters_.add("agent_starts");
     const std::uint64_t generation = generation_;
-    endpoint_.start(call, run.name, run.spec, [this, key, generation, incarnation = endpointIncarnation_](const EndpointAnswer &answer) {
-        now_ = answer.at;
-        if (generation != generation_) {
-            return;
-        }
-        if (incarnation == endpointIncarnation_) {
-            updateEndpointClock(answer.clockMs, now_);
-        }
-        onStartAnswer(key, answer);
-    });
+    endpoint_.start(call, run.name, run.spec,
+                    [this, key, call, generation, incarnation = endpointIncarnation_](const EndpointAnswer &answer) {
+                        now_ = answer.at;
+                        if (generation != generation_) {
+                            return;
+                        }
+                        if (incarnation == endpointIncarnation_) {
+                            updateEndpointClock(answer.clockMs, now_);
+                        }
+                        onStartAnswer(key, call, answer);
+                    });
 }
 
-void RepeatableJobAgent::onStartAnswer(const RunKey &key, const EndpointAnswer &answer)
+void RepeatableJobAgent::onStartAnswer(const RunKey &key, const EndpointCall &call, const EndpointAnswer &answer)
 {
     const auto found = runs_.find(key);
     if (found == runs_.end()) {
@@ -343,9 +349,8 @@
         finish(key, repeat::RUN_NOT_STARTED, Reason::OldAttempt, now_, run.name.attempt + ATTEMPT_STEP);
         break;
     case EndpointCallStatus::Fenced:
-        fencingToken_ = std::max(fencingToken_ + 1, answer.clockMs);
-        log_.warn(fmt::format("event=fenced endpoint={} new_token={}", notice_->id, fencingToken_));
         finishRefused(key, run, Reason::Fenced);
+        onFenced(call.fencingToken, answer);
         break;
     case EndpointCallStatus::Unhealthy:
         health_.onStartRefused(now_);
@@ -363,11 +368,13 @@
         pollImmediately(now_);
         break;
     case EndpointCallStatus::OtherIncarnation:
+        finishRefused(key, run, Reason::EndpointAbsent);
+        onOtherProcess(call);
+        break;
     case EndpointCallStatus::ConnectionRefused:
-        if (run.startsSent == 1) {
-            finish(key, repeat::RUN_NOT_STARTED, Reason::EndpointAbsent, now_);
-        }
-        finishAllAfterEnd(now_);
+        // The call was not sent. Earlier runs may go on: a fault of the network can refuse connections as well.
+        finishRefused(key, run, Reason::EndpointAbsent);
+        onConnectionRefused();
         break;
     case EndpointCallStatus::NoAnswer:
         counters_.add("agent_starts_unanswered");
@@ -378,7 +385,7 @@
         }
         // Repeating a start is idempotent: the endpoint accepts it again if it was carried out. A newer process may be of another kind.
         if (run.incarnation == endpointIncarnation_ && run.startsSent < START_TIMEOUTS.size() && !run.stopRequested && run.deadline > now_
-            && !isEvacuated() && !isEntrySilent(key.first, now_)) {
+            && !isLeaving() && !isEvacuated() && !isEntrySilent(key.first, now_)) {
             start(key, run, now_);
         } else {
             stop(key, run, Reason::NoAnswer, now_);
@@ -436,7 +443,7 @@
     EndpointCall call = makeCall(false, now);
     call.timeout = STOP_TIMEOUT;
     const std::uint64_t generation = generation_;
-    endpoint_.stop(call, run.name, [this, key, generation, incarnation = endpointIncarnation_](const EndpointAnswer &answer) {
+    endpoint_.stop(call, run.name, [this, key, call, generation, incarnation = endpointIncarnation_](const EndpointAnswer &answer) {
         now_ = answer.at;
         const auto found = runs_.find(key);
         if (generation != generation_ || found == runs_.end()) {
@@ -450,9 +457,11 @@
             found->second.stopAcceptedAt = std::min(found->second.stopAcceptedAt, now_);
             pollImmediately(now_);
         } else if (answer.status == EndpointCallStatus::Fenced) {
-            fencingToken_ = std::max(fencingToken_ + 1, answer.clockMs);
-        } else if (answer.status == EndpointCallStatus::OtherIncarnation || answer.status == EndpointCallStatus::ConnectionRefused) {
-            finishAllAfterEnd(now_);
+            onFenced(call.fencingToken, answer);
+        } else if (answer.status == EndpointCallStatus::OtherIncarnation) {
+            onOtherProcess(call);
+        } else if (answer.status == EndpointCallStatus::ConnectionRefused) {
+            onConnectionRefused();
         }
     });
 }
@@ -592,6 +601,7 @@
 {
     now_ = now;
     draining_ = true;
+    handBackQueued(Reason::Leaving);
     markDirty();
     reportLoad(now);
 }
@@ -601,6 +611,8 @@
     now_ = now;
     stopExpiredRuns(now);
     stopStalled(now);
+    finishAfterLeaseExpiry(now);
+    adoptPendingNotice(now);
     for (auto &[key, run] : runs_) {
         if (run.state == RunState::Stopping && run.stopAcceptedAt == NEVER && now >= run.stopRetryAt) {
             sendStop(key, run, now);
