Fix: A job can be cancelled at any entry

Cause: DELETE was answered from the jobs of the entry that got it: 410, no such job, for a job of another entry. That entry went on with it; when it was paused at that moment, it started the next steps after its pause.

Change: The entry that gets the DELETE records the job and sends JobCancel to all linked entries and to its agents (Cancellation). Entries cancel their own job, tell their agents and reply; agents refuse orders of the job and stop its runs; an order refused for this ends the job at its entry (504, given up: cancelled). A new link gets the records from 3 s before it went down. DELETE is answered 200 when an entry held the job, 410 when every known entry has replied that it did not, else 200 after 1,000 ms. At most 200 cancellations a second (400 at once) are sent; beyond that, DELETE of an unknown job is answered 429, not cancelled. An entry cancels the runs that an agent lists in its hello and whose job has ended. A job submitted again while its cancellation is remembered (120 s, 20,000 jobs) is answered 504 with Retry-After: runs of the cancelled job may be stopping elsewhere, so 503, which promises that nothing has started, might be untrue.

--- a/src/entry_daemon/repeatable_job_entry_process.cpp
+++ b/src/entry_daemon/repeatable_job_entry_process.cpp
@@ -34,6 +34,7 @@
             settings_.listen},
            *this)
     , core_(settings_.core, *this, callers, log)
+    , cancellation_(core_, *this, log)
     , stop_(settings_.grace)
     , configWatcher_(context, table, settings_.config, log,
                      [this](const std::string &text) {
@@ -84,9 +85,22 @@
     core_.onCallerDisconnected(caller, ProcessClock::now());
 }
 
-bool RepeatableJobEntryProcess::cancel(const SubmissionId &id)
+void RepeatableJobEntryProcess::cancel(const SubmissionId &id, Cancellation::Done done)
 {
-    return core_.cancel(id, ProcessClock::now());
+    cancellation_.cancel(id, unlinkedEntries(), std::move(done), ProcessClock::now());
+}
+
+std::size_t RepeatableJobEntryProcess::unlinkedEntries() const
+{
+    absl::btree_set<std::string> unlinked;
+    for (const auto &[address, confirmedAt] : knownEntries_) {
+        unlinked.insert(address);
+    }
+    unlinked.erase(settings_.listen);
+    for (const auto &[peer, address] : entryPeers_) {
+        unlinked.erase(address);
+    }
+    return unlinked.size();
 }
 
 void RepeatableJobEntryProcess::pumpSoon()
@@ -109,6 +123,7 @@
 void RepeatableJobEntryProcess::resetLink(Incarnation peer)
 {
     agentPeers_.erase(peer);
+    cancellation_.onLinkDown(peer, ProcessClock::now());
     hub_.resetLink(peer);
 }
 
@@ -129,6 +144,7 @@
     if (hello.has_agent_hello()) {
         agentPeers_.insert(peer);
         core_.onAgentUp(hello.agent_hello(), ProcessClock::now());
+        cancellation_.onLinkUp(peer, false, ProcessClock::now());
         sendEntryList(peer);
         pumpSoon();
         return;
@@ -140,6 +156,7 @@
         hub_.sendTo(peer, makeHello());
     }
     learnAddresses({hello.entry_hello().address()});
+    cancellation_.onLinkUp(peer, true, ProcessClock::now());
     repeat::Message crashes;
     *crashes.mutable_crash_notice() = core_.crashNotice();
     if (!crashes.crash_notice().crashes().empty()) {
@@ -155,6 +172,7 @@
 
 void RepeatableJobEntryProcess::onLinkDown(Incarnation peer, bool /*processGone*/)
 {
+    cancellation_.onLinkDown(peer, ProcessClock::now());
     if (agentPeers_.erase(peer) > 0) {
         core_.onAgentDown(peer, ProcessClock::now());
     } else if (entryPeers_.erase(peer) > 0) {
@@ -176,6 +194,10 @@
         learnAddresses({message.entry_list().addresses().begin(), message.entry_list().addresses().end()});
     } else if (message.has_crash_notice()) {
         onCrashNotice(message.crash_notice());
+    } else if (message.has_job_cancel()) {
+        cancellation_.onJobCancel(peer, message.job_cancel(), ProcessClock::now());
+    } else if (message.has_job_cancel_reply()) {
+        cancellation_.onReply(peer, message.job_cancel_reply(), ProcessClock::now());
     } else if (agentPeers_.contains(peer)) {
         core_.onAgentMessage(peer, message, ProcessClock::now());
     }
@@ -350,6 +372,7 @@
         log_.info("event=reload_asked result=nothing_to_change");
     }
     core_.tick(now);
+    cancellation_.tick(now);
     if (now >= nextPeerPing_) {
         nextPeerPing_ = now + PEER_PING;
         pingPeers(now);
@@ -405,6 +428,9 @@
     std::string text;
     writeCounters(core_.counters(), text);
     writeCounters(counters_, text);
+    writeCounters(cancellation_.counters(), text);
+    writeGauge("entry_cancelled_jobs", static_cast<double>(core_.cancelledJobs().size()), text);
+    writeGauge("entry_cancelled_jobs_dropped", static_cast<double>(core_.cancelledJobs().dropped()), text);
     writeHistograms("entry_stage", core_.histograms(), text);
     writeGauge("entry_open_jobs", static_cast<double>(core_.openJobCount()), text);
     writeGauge("entry_config_version", static_cast<double>(callers_.configVersion()), text);
--- a/src/entry_daemon/repeatable_job_entry_process.h
+++ b/src/entry_daemon/repeatable_job_entry_process.h
@@ -6,6 +6,7 @@
 #include "daemon/bounded_log.h"
 #include "daemon/metrics.h"
 #include "net/message_hub.h"
+#include "repeatable/cancellation.h"
 #include "repeatable/graceful_shutdown.h"
 #include "repeatable/repeatable_job_entry.h"
 #include "table/config_watcher.h"
@@ -71,8 +72,8 @@
     /** A caller has gone. @param caller the caller. */
     void callerGone(CallerToken caller);
 
-    /** Cancels a job. @param id the job. @return whether it was open. */
-    bool cancel(const SubmissionId &id);
+    /** Cancels a job here and at all other entries. @param id the job. @param done gets the answer, at once or within a second. */
+    void cancel(const SubmissionId &id, Cancellation::Done done);
 
     /** @return the decisions, for reading. */
     const RepeatableJobEntry &core() const
@@ -106,6 +107,7 @@
     void forgetEntries(Instant now);
     void sendEntryList(Incarnation peer);
     void tellAgentsOfEntries(Instant now);
+    std::size_t unlinkedEntries() const;
     void pumpSoon();
     void stop();
     void tick();
@@ -117,6 +119,7 @@
     BoundedLog &log_;
     MessageHub hub_;
     RepeatableJobEntry core_;
+    Cancellation cancellation_;
     GracefulShutdown stop_;
     ConfigWatcher configWatcher_;
     EntryDirectory directory_;
--- a/src/repeatable/repeatable_job_agent.cpp
+++ b/src/repeatable/repeatable_job_agent.cpp
@@ -120,6 +120,8 @@
             stop(key, run->second, Reason::StoppedByOrder, now);
         }
         startQueued(now);
+    } else if (message.has_job_cancel()) {
+        onJobCancel(entry, message.job_cancel(), now);
     } else if (message.has_entry_ping()) {
         recordStamp(message.entry_ping().stamp());
         link.reportInterval = Millis(message.entry_ping().report_interval_ms());
@@ -169,6 +171,9 @@
 
 Reason RepeatableJobAgent::refusalReason(Incarnation entry, const repeat::RunOrder &order, Instant now) const
 {
+    if (cancelled_.contains(order.submission())) {
+        return Reason::Cancelled;
+    }
     if (Instant(Millis(order.stamp())) + settings_.entrySilence < now) {
         return Reason::StaleLease;
     }
@@ -604,6 +609,7 @@
             sendStop(key, run, now);
         }
     }
+    cancelled_.forgetOld(now);
     while (!recentReports_.empty() && recentReports_.front().at + REPORT_RETENTION < now) {
         recentReports_.pop_front();
     }
--- a/src/repeatable/repeatable_job_agent.h
+++ b/src/repeatable/repeatable_job_agent.h
@@ -4,6 +4,7 @@
 
 #include "core/counters.h"
 #include "core/histograms.h"
+#include "repeatable/cancelled_jobs.h"
 #include "repeatable/endpoint_api.h"
 #include "repeatable/endpoint_health.h"
 #include "repeatable/event_log.h"
@@ -72,6 +73,12 @@
         return runs_.size();
     }
 
+    /** @return the cancelled jobs that are remembered. */
+    const CancelledJobs &cancelledJobs() const
+    {
+        return cancelled_;
+    }
+
     /** @return event counters. */
     const Counters &counters() const
     {
@@ -150,6 +157,7 @@
         Instant at; ///< When it was sent.
     };
 
+    void onJobCancel(Incarnation entry, const repeat::JobCancel &message, Instant now);
     void onOrder(Incarnation entry, const repeat::RunOrder &order, Instant now);
     Reason refusalReason(Incarnation entry, const repeat::RunOrder &order, Instant now) const;
     void startQueued(Instant now);
@@ -214,6 +222,7 @@
     Instant probationUntil_; ///< No other run is started before, so that a crash tells its cause.
     Instant startsBlockedUntil_; ///< No start is sent before this time, because the endpoint refused one for lack of resources.
     EndpointHealth health_;
+    CancelledJobs cancelled_; ///< Jobs of which no task is started.
     bool hasForeignRuns_ = false; ///< The endpoint still has runs of an earlier agent process, which are being stopped and take room.
     bool earlierDrained_ = false; ///< The earlier incarnation of the endpoint was draining, so its end was planned.
     bool draining_ = false;
--- a/src/repeatable/repeatable_job_entry.cpp
+++ b/src/repeatable/repeatable_job_entry.cpp
@@ -180,6 +180,14 @@
         callers_.answer(caller, {answered->second, Reason::None, Duration(0)});
         return;
     }
+    if (cancelled_.contains(submission.id)) {
+        // Runs of the cancelled job may still be stopping elsewhere, so this is no promise that none has started.
+        counters_.add("entry_cancelled_jobs_refused");
+        log_.info(fmt::format("event=job_cancelled_before id={} kind={} remembered_ms={}", submission.id, submission.policy.kind,
+                              toMillis(cancelled_.timeLeft(submission.id, now))));
+        callers_.answer(caller, {JobResult::Abandoned, Reason::Cancelled, cancelled_.timeLeft(submission.id, now)});
+        return;
+    }
     if (crashRecords_.isGivenUp(submission.id)) {
         counters_.add("entry_crashing_jobs_refused");
         log_.warn(fmt::format("event=job_given_up id={} kind={} reason={}", submission.id, submission.policy.kind,
@@ -283,6 +291,12 @@
     return true;
 }
 
+bool RepeatableJobEntry::onJobCancelled(const SubmissionId &id, Duration keep, Instant now)
+{
+    cancelled_.add(id, keep, now);
+    return cancel(id, now);
+}
+
 std::optional<bool> RepeatableJobEntry::hasOrderedTasks(const SubmissionId &id) const
 {
     const auto found = jobNumberById_.find(id);
@@ -507,6 +521,7 @@
         recentResultTimes_.pop_front();
     }
     crashRecords_.forgetOld(now);
+    cancelled_.forgetOld(now);
     if (kindStats_.size() > MAX_MEASURED_NAMES) {
         std::erase_if(kindStats_, [](const auto &kind) {
             return kind.second.pendingJobs == 0;
@@ -599,6 +614,10 @@
                                             Instant now)
 {
     const auto reason = static_cast<Reason>(report.reason());
+    if (reason == Reason::Cancelled) {
+        finishJob(number, JobResult::Abandoned, Reason::Cancelled, now);
+        return;
+    }
     counters_.add("entry_task_retries", reason);
     if (reason == Reason::EndpointCrashed && giveUpAfterCrash(number, job, task, report, now)) {
         return;
--- a/src/repeatable/repeatable_job_entry.h
+++ b/src/repeatable/repeatable_job_entry.h
@@ -6,6 +6,7 @@
 #include "core/histograms.h"
 #include "core/name_map_type.h"
 #include "repeatable/admission.h"
+#include "repeatable/cancelled_jobs.h"
 #include "repeatable/crash_records.h"
 #include "repeatable/event_log.h"
 #include "repeatable/placement.h"
@@ -56,6 +57,16 @@
     /** Cancels a job. @param id id of the job. @param now current time. @return whether the job was open. */
     bool cancel(const SubmissionId &id, Instant now);
 
+    /** A job was cancelled here or at another entry: ends it if it is open, and refuses it while the cancellation is remembered. @param id
+     * id of the job. @param keep how long it is remembered. @param now current time. @return whether the job was open. */
+    bool onJobCancelled(const SubmissionId &id, Duration keep, Instant now);
+
+    /** @return the cancelled jobs that are remembered. */
+    const CancelledJobs &cancelledJobs() const
+    {
+        return cancelled_;
+    }
+
     /** @param id id of a job. @return whether any of its tasks has been ordered; nullopt when the job is not open. */
     std::optional<bool> hasOrderedTasks(const SubmissionId &id) const;
 
@@ -225,6 +236,7 @@
     absl::btree_set<JobRank> lateQueue_; ///< Other jobs that can no longer meet it; they leave a reserve of capacity.
     SlackShare slackShare_;
     CrashRecords crashRecords_;
+    CancelledJobs cancelled_;
     absl::flat_hash_map<OrderId, OrderRef> orders_; ///< Orders for which no final report has arrived.
     absl::flat_hash_map<SubmissionId, JobResult> recentResults_; ///< Results of recently ended jobs, repeated to duplicates of the request.
     std::deque<std::pair<Instant, SubmissionId>> recentResultTimes_; ///< When each result in `recentResults_` was stored; oldest first.
--- a/src/repeatable/repeatable_job_entry_agents.cpp
+++ b/src/repeatable/repeatable_job_entry_agents.cpp
@@ -41,12 +41,23 @@
     log_.info(fmt::format("event=agent_up agent={} incarnation={:016x} zone={} runs={} outstanding={}", status.name, hello.incarnation(),
                           status.zone, hello.runs_size(), status.outstandingOrders.size()));
     absl::btree_set<OrderId> listed;
+    repeat::Message cancels;
     for (const repeat::RunReport &report : hello.runs()) {
         listed.insert(static_cast<OrderId>(report.order()));
         if (report.outcome() != repeat::RUN_HELD) {
             onRunReport(incarnation, report, now);
+            continue;
+        }
+        // The cancellation of a run whose job has ended may have been lost with the link.
+        const auto order = orders_.find(static_cast<OrderId>(report.order()));
+        if (order == orders_.end() || !jobs_.contains(order->second.job)) {
+            cancels.mutable_run_cancel()->add_orders(report.order());
         }
     }
+    if (cancels.has_run_cancel()) {
+        counters_.add("entry_cancels_again", static_cast<std::uint64_t>(cancels.run_cancel().orders_size()));
+        links_.sendTo(incarnation, std::move(cancels));
+    }
     // The old link is closed, so an order that the agent does not list is not held there and can no longer arrive. The agent remembers
     // ended runs only for evidence_ms: an order sent before that may have run and been forgotten, so it counts as lost rather than not
     // started.
--- a/tests/repeatable/endpoint_restart_test.cpp
+++ b/tests/repeatable/endpoint_restart_test.cpp
@@ -1,13 +1,11 @@
 /** @file endpoint_restart_test.cpp Tests of starts while an endpoint restarts under its id as another kind. */
 
-#include "fake_endpoint.h"
+#include "delayed_endpoint_api.h"
 #include "repeatable/repeatable_job_agent.h"
 #include "repeatable/repeatable_job_entry.h"
 #include "repeatable_job_recorder.h"
 
 #include <doctest/doctest.h>
-#include <functional>
-#include <utility>
 
 namespace
 {
@@ -15,44 +13,6 @@
 using namespace medlarmill;
 using namespace medlarmill::fake;
 
-/** Calls that arrive at a simulated endpoint when the test says so. */
-class DelayedEndpointApi : public EndpointApi
-{
-public:
-    void start(const EndpointCall &call, const RunName &run, const std::string & /*spec*/,
-               std::function<void(EndpointAnswer)> done) override
-    {
-        pending_.emplace_back([this, call, run, done](Instant now) {
-            done(endpoint.start(call, run, Millis(100), false, {3'000, 64, 0}, now));
-        });
-    }
-    void stop(const EndpointCall &call, const RunName &run, std::function<void(EndpointAnswer)> done) override
-    {
-        pending_.emplace_back([this, call, run, done](Instant now) {
-            done(endpoint.stop(call, run, now));
-        });
-    }
-    void poll(const EndpointCall &call, std::uint64_t acknowledged, Millis /*wait*/, std::function<void(EndpointPollResult)> done) override
-    {
-        pending_.emplace_back([this, call, acknowledged, done](Instant now) {
-            done(endpoint.poll(call, acknowledged, now));
-        });
-    }
-
-    void deliver(Instant now)
-    {
-        for (const auto &call : std::exchange(pending_, {})) {
-            call(now);
-        }
-    }
-
-    fake::Oracle oracle;
-    FakeEndpoint endpoint{1, oracle};
-
-private:
-    std::vector<std::function<void(Instant)>> pending_;
-};
-
 struct RestartFixture
 {
     RestartFixture()
