--- a/src/repeatable/cancellation.cpp
+++ b/src/repeatable/cancellation.cpp
@@ -99,7 +99,7 @@
 
 void Cancellation::onJobCancel(Incarnation entry, const repeat::JobCancel &message, Instant now)
 {
-    const SubmissionId id = message.submission();
+    const SubmissionId &id = message.submission();
     const bool isKnown = core_.cancelledJobs().contains(id);
     const bool held = core_.onJobCancelled(id, Millis(message.keep_ms()), now);
     counters_.add("entry_cancels_received");
--- a/src/repeatable/repeatable_job_agent_cancel.cpp
+++ b/src/repeatable/repeatable_job_agent_cancel.cpp
@@ -10,7 +10,7 @@
 
 void RepeatableJobAgent::onJobCancel(Incarnation entry, const repeat::JobCancel &message, Instant now)
 {
-    const SubmissionId id = message.submission();
+    const SubmissionId &id = message.submission();
     cancelled_.add(id, Millis(message.keep_ms()), now);
     counters_.add("agent_cancels_received");
     std::vector<RunKey> keys;
