--- a/src/entry_daemon/repeatable_job_entry_process.cpp
+++ b/src/entry_daemon/repeatable_job_entry_process.cpp
@@ -34,6 +34,7 @@
             settings_.listen},
            *this)
     , core_(settings_.core, *this, callers, log)
+    , cancellation_(core_, *this, log)
     , stop_(settings_.grace)
     , zoneExchange_(*this, log,
                     [this] {
@@ -92,9 +93,22 @@
     core_.onCallerDisconnected(caller, ProcessClock::now());
 }
 
-bool RepeatableJobEntryProcess::cancel(const SubmissionId &id)
+void RepeatableJobEntryProcess::cancel(const SubmissionId &id, Cancellation::Done done)
 {
-    return core_.cancel(id, ProcessClock::now());
+    cancellation_.cancel(id, unlinkedEntries(), std::move(done), ProcessClock::now());
+}
+
+std::size_t RepeatableJobEntryProcess::unlinkedEntries() const
+{
+    absl::btree_set<std::string> unlinked;
+    for (const auto &[address, confirmedAt] : knownEntries_) {
+        unlinked.insert(address);
+    }
+    unlinked.erase(settings_.listen);
+    for (const auto &[peer, address] : entryPeers_) {
+        unlinked.erase(address);
+    }
+    return unlinked.size();
 }
 
 void RepeatableJobEntryProcess::pumpSoon()
@@ -118,6 +132,7 @@
 {
     agentPeers_.erase(peer);
     zoneExchange_.onLinkDown(peer);
+    cancellation_.onLinkDown(peer, ProcessClock::now());
     hub_.resetLink(peer);
 }
 
@@ -139,6 +154,7 @@
         agentPeers_.insert(peer);
         zoneExchange_.onLinkUp(peer);
         core_.onAgentUp(hello.agent_hello(), ProcessClock::now());
+        cancellation_.onLinkUp(peer, false, ProcessClock::now());
         sendEntryList(peer);
         pumpSoon();
         return;
@@ -151,6 +167,7 @@
     }
     zoneExchange_.onLinkUp(peer);
     learnAddresses({hello.entry_hello().address()});
+    cancellation_.onLinkUp(peer, true, ProcessClock::now());
     repeat::Message crashes;
     *crashes.mutable_crash_notice() = core_.crashNotice();
     if (!crashes.crash_notice().crashes().empty()) {
@@ -167,6 +184,7 @@
 void RepeatableJobEntryProcess::onLinkDown(Incarnation peer, bool /*processGone*/)
 {
     zoneExchange_.onLinkDown(peer);
+    cancellation_.onLinkDown(peer, ProcessClock::now());
     if (agentPeers_.erase(peer) > 0) {
         core_.onAgentDown(peer, ProcessClock::now());
     } else if (entryPeers_.erase(peer) > 0) {
@@ -190,6 +208,10 @@
         onCrashNotice(message.crash_notice());
     } else if (message.has_zone_state()) {
         zoneExchange_.onPeerState(message.zone_state(), ProcessClock::now());
+    } else if (message.has_job_cancel()) {
+        cancellation_.onJobCancel(peer, message.job_cancel(), ProcessClock::now());
+    } else if (message.has_job_cancel_reply()) {
+        cancellation_.onReply(peer, message.job_cancel_reply(), ProcessClock::now());
     } else if (agentPeers_.contains(peer)) {
         core_.onAgentMessage(peer, message, ProcessClock::now());
     }
@@ -387,6 +409,7 @@
         log_.info("event=reload_asked result=nothing_to_change");
     }
     core_.tick(now);
+    cancellation_.tick(now);
     if (now >= nextPeerPing_) {
         nextPeerPing_ = now + PEER_PING;
         pingPeers(now);
@@ -442,6 +465,9 @@
     std::string text;
     writeCounters(core_.counters(), text);
     writeCounters(counters_, text);
+    writeCounters(cancellation_.counters(), text);
+    writeGauge("entry_cancelled_jobs", static_cast<double>(core_.cancelledJobs().size()), text);
+    writeGauge("entry_cancelled_jobs_dropped", static_cast<double>(core_.cancelledJobs().dropped()), text);
     writeHistograms("entry_stage", core_.histograms(), text);
     writeGauge("entry_open_jobs", static_cast<double>(core_.openJobCount()), text);
     writeGauge("entry_config_version", static_cast<double>(callers_.configVersion()), text);
