Feature: Cold endpoints regain their share of work gradually

Cause: endpoints of a zone that returns from evacuation may be slow for a while; placed like warm ones, they take work that another endpoint would end earlier, and the slowness measured meanwhile keeps work away when they are warm. Change: heartbeats' `cold_left_ms` goes from the agent to entries in load reports. Placement multiplies the expected run time at a cold endpoint by `bounds.cold_excess` (default 1), falling to 1 over the last 10 s of the cold time. The agent leaves that factor out of the measured slowdown. A `bounds.cold_excess` below 1 is refused at the start. Not measured: late answers of a whole zone that returns under load.

--- a/src/repeatable/placement.cpp
+++ b/src/repeatable/placement.cpp
@@ -16,6 +16,7 @@
 constexpr double LOAD_COST_EXPONENT = 4; ///< Exponent with which that cost rises with the load.
 constexpr double NON_PREFERRED_RUN_TIME_FACTOR = 1.5; ///< Ratio of run time without the preferred label to run time with it.
 constexpr double SUSPECT_LOAD_COST_MS = 500; ///< Cost of a fully loaded endpoint for a task that may crash it: what runs there is lost.
+constexpr Duration COLD_RAMP = Millis(10'000); ///< A cold endpoint regains its share over so long, the time allowed after an evacuation.
 constexpr double AVOIDED_AGENT_COST_MS = 1'000; ///< Cost of the agent where the previous run failed, was lost or was refused.
 
 }
@@ -42,13 +43,20 @@
     status.capacity.cpu = report.cpu_total();
     status.reportedFree = {report.cpu_free(), report.mem_free(), report.gpu_free()};
     status.slowdown = report.slowdown_percent() / 100.0;
+    status.coldLeft = Millis(report.cold_left_ms());
     status.lastReportedOrder = static_cast<OrderId>(report.last_order());
     status.labels.assign(report.labels().begin(), report.labels().end());
 }
 
+double Placement::coldFactor(const AgentStatus &agent) const
+{
+    const double left = static_cast<double>(agent.coldLeft.count()) / static_cast<double>(COLD_RAMP.count());
+    return 1 + (coldExcess_ - 1) * std::min(1.0, left);
+}
+
 double Placement::cost(const AgentStatus &agent, const PlacementRequest &request) const
 {
-    double runMs = static_cast<double>(request.expectedRunTime.count()) / 1'000 * std::max(agent.slowdown, 0.1);
+    double runMs = static_cast<double>(request.expectedRunTime.count()) / 1'000 * std::max(agent.slowdown, 0.1) * coldFactor(agent);
     const std::string &preferred = request.group->preferredLabel;
     if (!preferred.empty() && std::ranges::find(agent.labels, preferred) == agent.labels.end()) {
         runMs *= NON_PREFERRED_RUN_TIME_FACTOR;
--- a/src/repeatable/placement.h
+++ b/src/repeatable/placement.h
@@ -23,7 +23,8 @@
     std::vector<std::string> labels; ///< Labels of the endpoint, such as its kind and rack.
     Resources capacity; ///< Total capacity of the endpoint; load reports carry only `cpu`.
     Resources reportedFree; ///< Free capacity according to the newest load report.
-    double slowdown = 1; ///< Ratio of measured to expected run time.
+    double slowdown = 1; ///< Ratio of measured to expected run time, without what a cold start adds.
+    Duration coldLeft{0}; ///< How long the endpoint stays slow after its start, according to the newest load report.
     bool accepting = false; ///< The endpoint accepts work.
     bool linkUp = false; ///< The link is connected and has not timed out.
     OrderId lastReportedOrder = INVALID_ORDER_ID; ///< Orders with numbers up to this one are included in `reportedFree`.
@@ -61,9 +62,11 @@
 class Placement
 {
 public:
-    /** @param zone availability zone of the entry. */
-    explicit Placement(std::string zone)
+    /** @param zone availability zone of the entry. @param coldExcess ratio of run time at an endpoint that is still cold to run time at a
+     * warm one. */
+    explicit Placement(std::string zone, double coldExcess = 1)
         : zone_(std::move(zone))
+        , coldExcess_(coldExcess)
     { }
 
     /** @return all agents. */
@@ -109,7 +112,10 @@
 private:
     double cost(const AgentStatus &agent, const PlacementRequest &request) const;
 
+    double coldFactor(const AgentStatus &agent) const;
+
     std::string zone_;
+    double coldExcess_;
     absl::btree_map<Incarnation, AgentStatus> agents_;
     absl::btree_set<std::string> evacuatedZones_;
 };
--- a/src/repeatable/repeatable_job_agent.cpp
+++ b/src/repeatable/repeatable_job_agent.cpp
@@ -562,6 +562,7 @@
             report->set_gpu_free(available.gpu);
             report->set_queued(static_cast<std::uint32_t>(queue_.size()));
             report->set_slowdown_percent(static_cast<std::uint32_t>(health_.slowdown() * 100));
+            report->set_cold_left_ms(static_cast<std::uint32_t>(toMillis(std::max(Duration(0), coldUntil_ - now))));
             for (const std::string &label : notice_->labels) {
                 report->add_labels(label);
             }
--- a/src/repeatable/repeatable_job_agent.h
+++ b/src/repeatable/repeatable_job_agent.h
@@ -28,6 +28,7 @@
     Duration lease = Millis(500); ///< Lease of all runs at the endpoint.
     Duration entrySilence = Millis(390); ///< The runs of an entry are stopped when the newest stamp that it quoted is older than this.
     Duration maxStopTime = Millis(50); ///< Longest time that the endpoint takes to stop a run.
+    double coldExcess = 1; ///< Ratio of run time at an endpoint that is still cold to run time at a warm one.
 };
 
 /**
@@ -231,6 +232,7 @@
     bool earlierDrained_ = false; ///< The earlier incarnation of the endpoint was draining, so its end was planned.
     bool draining_ = false;
     ZoneEvacuation zones_;
+    Instant coldUntil_; ///< Until then the endpoint is slow, because it has just started.
     Instant now_; ///< Time of the event being handled; also set by callbacks of the endpoint.
     Counters counters_;
     Histograms histograms_;
--- a/src/repeatable/repeatable_job_agent_endpoint.cpp
+++ b/src/repeatable/repeatable_job_agent_endpoint.cpp
@@ -27,6 +27,11 @@
 constexpr std::size_t CRASH_FORWARDERS = 2; ///< Entries that pass a crash on to all others; one of them may fail meanwhile.
 constexpr Duration CLOCK_TOLERANCE = Millis(20); ///< Maximum error when mapping between the endpoint's clock and the agent's.
 
+Duration scaled(Duration time, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(time.count()) * factor));
+}
+
 }
 
 bool RepeatableJobAgent::onNotice(const EndpointNotice &notice, Instant now)
@@ -69,6 +74,7 @@
     }
     const bool shrunk = same && !notice_->capacity.fitsInto(notice.capacity);
     notice_ = notice;
+    coldUntil_ = now + notice.coldLeft;
     if (shrunk) {
         log_.state(fmt::format("event=endpoint_shrunk endpoint={} cpu={} mem_mb={} gpu={} queued={}", notice.id, notice.capacity.cpu,
                                notice.capacity.memMb, notice.capacity.gpu, queue_.size()));
@@ -275,7 +281,8 @@
     run.startedAt = std::min(run.startedAt, now);
     switch (finished.kind) {
     case FinishKind::Done:
-        health_.onCompletion(run.expected, now - run.startedAt);
+        // The time lost to a cold start is left out, or the endpoint would count as slow when it is warm.
+        health_.onCompletion(run.startedAt < coldUntil_ ? scaled(run.expected, settings_.coldExcess) : run.expected, now - run.startedAt);
         finish(key, repeat::RUN_DONE, Reason::None, now);
         return;
     case FinishKind::Failed:
--- a/src/repeatable/repeatable_job_entry.cpp
+++ b/src/repeatable/repeatable_job_entry.cpp
@@ -57,7 +57,7 @@
     , links_(links)
     , callers_(callers)
     , log_(log)
-    , placement_(settings_.zone)
+    , placement_(settings_.zone, settings_.coldExcess)
 { }
 
 Duration RepeatableJobEntry::expectedRunTime(const RepeatableJob &job, const TaskGroup &group) const
--- a/src/repeatable/repeatable_job_entry.h
+++ b/src/repeatable/repeatable_job_entry.h
@@ -30,6 +30,7 @@
     Duration agentLossTimeout = Millis(1'050); ///< After so long without a stamp from here, an agent has ended all runs of this entry.
     std::size_t maxJobs = 20'000; ///< Maximum number of open jobs; further jobs are refused.
     Duration maxLoadReportInterval = Millis(130); ///< Longest time between load reports of an agent; see RepeatableJobTiming.
+    double coldExcess = 1; ///< Ratio of run time at an endpoint that is still cold to run time at a warm one.
     double loadReportsPerSecond = 1'000; ///< Target for the total rate of load reports from all agents.
 };
 
--- a/src/repeatable/repeatable_job_type.h
+++ b/src/repeatable/repeatable_job_type.h
@@ -129,6 +129,7 @@
     std::vector<std::string> labels; ///< Labels that `TaskGroup::requiredLabel` and `preferredLabel` refer to: its kind and rack.
     bool draining = false; ///< It accepts no new runs.
     bool terminated = false; ///< It has shut down as planned.
+    Duration coldLeft{0}; ///< How long it stays slow after its start; 0 when it is warm.
 };
 
 /** A run in the endpoint's list of active runs. */
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -75,6 +75,9 @@
     CHECK(good->seeds == std::vector<std::string>{"10.1.0.13:7720", "10.2.0.30:7720"});
     CHECK(good->grace == Millis(6'000));
     CHECK(good->cpuShare == 0.12);
+    CHECK(good->coldExcess == 1);
+    CHECK(parseDeployment(std::string(SETTINGS) + "bounds.cold_excess=1.5\n")->coldExcess == 1.5);
+    CHECK_FALSE(parseDeployment(std::string(SETTINGS) + "bounds.cold_excess=0.5\n").ok());
     const auto bad = parseDeployment("node_name=x\nip=1.2.3.4\nzone=a\nport_range=1,2\nplatform.address=nowhere\nbounds.grace_s=soon\n");
     REQUIRE_FALSE(bad.ok());
     const std::string message(bad.status().message());
@@ -103,6 +106,10 @@
     CHECK_FALSE(decodeNotice("i-1", with("\"seq_no\":4", "\"seq\":4")).ok());
     CHECK_FALSE(decodeNotice("i-1", with("10.1.0.9:80", "desk.example:80")).ok());
     CHECK(decodeNotice("i-1", with("\"ready\"", "\"draining\""))->draining);
+    CHECK(good->coldLeft == Duration(0));
+    CHECK(decodeNotice("i-1", with("cold_left_ms\":0", "cold_left_ms\":4200"))->coldLeft == Millis(4'200));
+    CHECK(decodeNotice("i-1", with("cold_left_ms\":0", "cold_left_ms\":18446744073709551615"))->coldLeft == Millis(3'600'000));
+    CHECK(decodeNotice("i-1", with("cold_left_ms\":0", "cold_left_ms\":-1"))->coldLeft == Duration(0));
 }
 
 TEST_CASE("submissions are decoded wholly; what is not served is named")
--- a/tests/repeatable/zone_evacuation_test.cpp
+++ b/tests/repeatable/zone_evacuation_test.cpp
@@ -263,13 +263,19 @@
 struct Agent : public EndpointApi
 {
     Agent()
-        : core({"agent", "a", AGENT}, recorder, *this, log)
+        : core(settings(), recorder, *this, log)
     {
         core.onEntryUp(ENTRY, now);
         core.onNotice(endpoint.notice(now), now);
         runFor(Millis(40));
     }
 
+    static RepeatableJobAgentSettings settings()
+    {
+        RepeatableJobAgentSettings settings{"agent", "a", AGENT};
+        settings.coldExcess = 1.5;
+        return settings;
+    }
     void start(const EndpointCall &call, const RunName &run, const std::string & /*spec*/,
                std::function<void(EndpointAnswer)> done) override
     {
@@ -570,3 +576,65 @@
     CHECK(outstanding("a") == 0);
     CHECK(outstanding("b") + outstanding("c") == 1);
 }
+
+TEST_CASE_FIXTURE(Agent, "a cold endpoint is reported as such and does not count as slow when it is warm")
+{
+    const auto newestLoad = [this] {
+        return std::find_if(recorder.sent.rbegin(), recorder.sent.rend(),
+                            [](const repeat::Message &message) {
+                                return message.has_load_report();
+                            })
+            ->load_report();
+    };
+    endpoint.slowdown = 1.5;
+    EndpointNotice notice = endpoint.notice(now);
+    notice.coldLeft = Millis(4'000);
+    core.onNotice(notice, now);
+    for (std::uint64_t number = 1; number <= 20; ++number) {
+        order(number);
+        runFor(Millis(180));
+    }
+    CHECK(ends()[DONE] == 20);
+    CHECK(newestLoad().cold_left_ms() <= 400 + 150); // The newest report may be 150 ms old.
+    CHECK(newestLoad().cold_left_ms() > 0);
+    CHECK(newestLoad().slowdown_percent() < 115);
+    runFor(Millis(600));
+    CHECK(newestLoad().cold_left_ms() == 0);
+}
+
+TEST_CASE("a cold endpoint gets work that finds no other room, and its share back before it is warm")
+{
+    Placement placement("a", 1.5);
+    const auto report = [&placement](std::uint64_t agent, std::uint32_t freeCpu, std::uint32_t coldLeftMs) {
+        AgentStatus &status = placement.agents()[toIncarnation(agent)];
+        status.linkUp = true;
+        status.zone = "a";
+        repeat::LoadReport load;
+        load.set_accepting(true);
+        load.set_service("desk");
+        load.set_cpu_total(16'000);
+        load.set_cpu_free(freeCpu);
+        load.set_mem_free(4'096);
+        load.set_slowdown_percent(100);
+        load.set_cold_left_ms(coldLeftMs);
+        placement.onLoadReport(toIncarnation(agent), load);
+    };
+    TaskGroup group;
+    group.count = 1;
+    group.demand = {3'000, 64, 0};
+    PlacementRequest request;
+    request.group = &group;
+    request.service = "desk";
+    request.expectedRunTime = Millis(100);
+    const auto chosen = [&] {
+        return toWire(placement.chooseAgent(request).agent);
+    };
+    report(1, 4'000, 0);
+    report(2, 16'000, 10'000);
+    CHECK(chosen() == 1);
+    report(1, 2'000, 0);
+    CHECK(chosen() == 2);
+    report(1, 4'000, 0);
+    report(2, 16'000, 500);
+    CHECK(chosen() == 2);
+}
