Feature: medlarmillctl and the metrics page show evacuated zones

Cause: operators must see which zones are evacuated, since when, at which version, and how many runs are left, before machines are switched off. Change: entries and agents write the same gauges for each zone; `medlarmillctl zones ADDRESS` prints them, as text or JSON.

--- a/src/agent_daemon/repeatable_job_agent_process.cpp
+++ b/src/agent_daemon/repeatable_job_agent_process.cpp
@@ -4,6 +4,7 @@
 
 #include "daemon/metrics.h"
 #include "daemon/stop_signal.h"
+#include "entry_daemon/zone_metrics.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -178,9 +179,12 @@
     writeCounters(core_.counters(), text);
     writeHistograms("agent_stage", core_.histograms(), text);
     writeGauge("agent_held_runs", static_cast<double>(core_.unfinishedRuns()), text);
-    writeGauge("agent_zones_evacuated", static_cast<double>(core_.zones().evacuatedSince().size()), text);
-    writeGauge("agent_zones_version", static_cast<double>(core_.zones().version()), text);
-    writeGauge("agent_evacuated_runs_left", core_.isEvacuated() ? static_cast<double>(core_.unfinishedRuns()) : 0, text);
+    writeZoneGauges(
+        "agent", core_.zones(),
+        [this](const std::string &zone) {
+            return zone == settings_.core.zone ? core_.unfinishedRuns() : 0;
+        },
+        ProcessClock::now(), text);
     writeGauge("agent_free_cpu", core_.freeResources().cpu, text);
     writeGauge("agent_entry_links", static_cast<double>(hub_.linkCount()), text);
     writeGauge("log_lines_dropped", static_cast<double>(log_.dropped()), text);
--- a/src/ctl/command_type.h
+++ b/src/ctl/command_type.h
@@ -47,4 +47,7 @@
 /** @return commands on running processes. */
 std::vector<Command> processCommands();
 
+/** @return commands on evacuated availability zones. */
+std::vector<Command> zoneCommands();
+
 }
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -11,6 +11,7 @@
     using namespace medlarmill;
     std::vector<Command> commands = configCommands();
     std::ranges::move(processCommands(), std::back_inserter(commands));
+    std::ranges::move(zoneCommands(), std::back_inserter(commands));
     std::string summary = "medlarmillctl [flags] COMMAND [ARGUMENT...]\n";
     for (const Command &command : commands) {
         summary += fmt::format("\n  {:<10} {:<18} {}", command.name, command.arguments, command.help);
--- a/src/entry_daemon/repeatable_job_entry_process.cpp
+++ b/src/entry_daemon/repeatable_job_entry_process.cpp
@@ -3,6 +3,7 @@
 #include "entry_daemon/repeatable_job_entry_process.h"
 
 #include "daemon/stop_signal.h"
+#include "entry_daemon/zone_metrics.h"
 #include "net/address.h"
 
 #include <boost/asio/post.hpp>
@@ -220,18 +221,6 @@
     pumpSoon();
 }
 
-void RepeatableJobEntryProcess::writeZones(std::string &text) const
-{
-    const ZoneEvacuation &zones = zoneExchange_.zones();
-    writeGauge("entry_zones_evacuated", static_cast<double>(zones.evacuatedSince().size()), text);
-    writeGauge("entry_zones_version", static_cast<double>(zones.version()), text);
-    for (const auto &[zone, since] : zones.evacuatedSince()) {
-        const std::string label = fmt::format("{{zone=\"{}\"}}", printableZone(zone));
-        writeGauge("entry_zone_evacuated_ms" + label, static_cast<double>(toMillis(ProcessClock::now() - since)), text);
-        writeGauge("entry_zone_runs_left" + label, static_cast<double>(core_.placement().outstandingOrders(zone)), text);
-    }
-}
-
 void RepeatableJobEntryProcess::onFrameEnd()
 {
     pumpSoon();
@@ -447,7 +436,12 @@
     writeGauge("entry_config_version", static_cast<double>(callers_.configVersion()), text);
     writeGauge("entry_config_newest_known", static_cast<double>(configExchange_.newestKnown()), text);
     writeGauge("entry_config_behind_ms", static_cast<double>(toMillis(configExchange_.behindFor(ProcessClock::now()))), text);
-    writeZones(text);
+    writeZoneGauges(
+        "entry", zoneExchange_.zones(),
+        [this](const std::string &zone) {
+            return core_.placement().outstandingOrders(zone);
+        },
+        ProcessClock::now(), text);
     writeGauge("entry_agent_links", static_cast<double>(agentPeers_.size()), text);
     writeGauge("entry_peer_links", static_cast<double>(entryPeers_.size()), text);
     writeGauge("log_lines_dropped", static_cast<double>(log_.dropped()), text);
--- a/src/entry_daemon/repeatable_job_entry_process.h
+++ b/src/entry_daemon/repeatable_job_entry_process.h
@@ -102,7 +102,6 @@
     void askForConfig(Instant now);
     void onCrashNotice(const repeat::CrashNotice &notice);
     void onZonesChanged();
-    void writeZones(std::string &text) const;
     void learnAddresses(const std::vector<std::string> &addresses);
     void dialEntries();
     void pingPeers(Instant now);
