--- a/src/repeatable/repeatable_job_agent_endpoint.cpp
+++ b/src/repeatable/repeatable_job_agent_endpoint.cpp
@@ -27,6 +27,11 @@
 constexpr std::size_t CRASH_FORWARDERS = 2; ///< Entries that pass a crash on to all others; one of them may fail meanwhile.
 constexpr Duration CLOCK_TOLERANCE = Millis(20); ///< Maximum error when mapping between the endpoint's clock and the agent's.
 
+Duration scaled(Duration time, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(time.count()) * factor));
+}
+
 }
 
 bool RepeatableJobAgent::onNotice(const EndpointNotice &notice, Instant now)
@@ -73,6 +78,7 @@
     notice_ = notice;
     notice_->startUnixMs = startUnixMs;
     describedStartUnixMs_ = startUnixMs;
+    coldUntil_ = now + notice.coldLeft;
     if (notice.draining) {
         handBackQueued(Reason::Leaving);
     } else if (shrunk) {
@@ -146,6 +152,7 @@
                           fencingToken_.value()));
     notice_ = notice;
     describedStartUnixMs_ = notice.startUnixMs;
+    coldUntil_ = now + notice.coldLeft;
     // What waits was chosen by the labels and the capacity of the former process.
     handBackQueued(notice.draining ? Reason::Leaving : Reason::EndpointRestarted);
     updateEndpointClock(notice.clockMs, now);
@@ -439,7 +446,8 @@
     run.startedAt = std::min(run.startedAt, now);
     switch (finished.kind) {
     case FinishKind::Done:
-        health_.onCompletion(run.expected, now - run.startedAt);
+        // The time lost to a cold start is left out, or the endpoint would count as slow when it is warm.
+        health_.onCompletion(run.startedAt < coldUntil_ ? scaled(run.expected, settings_.coldExcess) : run.expected, now - run.startedAt);
         finish(key, repeat::RUN_DONE, Reason::None, now);
         return;
     case FinishKind::Failed:
