Change: The first interface refuses by header, and claims 'not run' only for reads

Cause: the id of a submission to the first interface is in its body, so a refusal for want of memory could not know an earlier copy; a job that was given up for crashing endpoints counted as unknown at the entry. RepeatableJobEntry::isKnown includes jobs that were given up.

--- a/src/entry_daemon/caller_gateway.cpp
+++ b/src/entry_daemon/caller_gateway.cpp
@@ -37,6 +37,11 @@
     {"/v1/config", CallerRequestKind::ConfigText},
 };
 
+bool isSubmitPath(std::string_view path)
+{
+    return path.starts_with(SERVICES_PREFIX) && path.ends_with(JOBS_SUFFIX) && path.size() > SERVICES_PREFIX.size() + JOBS_SUFFIX.size();
+}
+
 }
 
 CallerGateway::CallerGateway(HttpLimits limits, std::size_t maxWaiting, Doorbell &reader)
@@ -83,6 +88,18 @@
     thread_.join();
 }
 
+std::optional<HttpResponse> CallerGateway::checkHeader(const HttpRequestHeader &header, std::optional<std::uint64_t> /*declaredBytes*/)
+{
+    const std::string_view path(header.target().data(), header.target().size());
+    if (!isSubmitPath(path)) {
+        return invalidResponse(Reason::NotFound, "no such path takes a body; see docs/INTERFACE.md");
+    }
+    if (header.method() != http::verb::post) {
+        return jsonResponse(STATUS_METHOD_NOT_ALLOWED, R"({"kind":"invalid","reason":"malformed","remedy":"use POST"})");
+    }
+    return std::nullopt;
+}
+
 void CallerGateway::handle(HttpRequest request, HttpReply reply)
 {
     const std::string target(request.target());
@@ -97,7 +114,7 @@
         }
     }
     const std::string_view path(target);
-    if (path.starts_with(SERVICES_PREFIX) && path.ends_with(JOBS_SUFFIX) && path.size() > SERVICES_PREFIX.size() + JOBS_SUFFIX.size()) {
+    if (isSubmitPath(path)) {
         const std::size_t length = path.size() - SERVICES_PREFIX.size() - JOBS_SUFFIX.size();
         handleSubmit(path.substr(SERVICES_PREFIX.size(), length), std::move(request), std::move(reply));
         return;
--- a/src/entry_daemon/caller_gateway.h
+++ b/src/entry_daemon/caller_gateway.h
@@ -13,6 +13,7 @@
 #include <absl/status/status.h>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -82,6 +83,13 @@
     }
 
     void handle(HttpRequest request, HttpReply reply) override;
+    std::optional<HttpResponse> checkHeader(const HttpRequestHeader &header, std::optional<std::uint64_t> declaredBytes) override;
+
+    /** The id of a submission is in its body, so that an earlier copy cannot be excluded. */
+    bool isRefusalNotRun(const HttpRequestHeader &header) const override
+    {
+        return header.method() != boost::beast::http::verb::post;
+    }
 
 private:
     void handleSubmit(std::string_view service, HttpRequest request, HttpReply reply);
--- a/src/repeatable/repeatable_job_entry.h
+++ b/src/repeatable/repeatable_job_entry.h
@@ -59,10 +59,10 @@
     /** @param id id of a job. @return whether any of its tasks has been ordered; nullopt when the job is not open. */
     std::optional<bool> hasOrderedTasks(const SubmissionId &id) const;
 
-    /** @param id id of a job. @return whether the job is open or its result is retained, so that it may have run. */
+    /** @param id id of a job. @return whether the job is open, its result is retained or it was given up, so that it may have run. */
     bool isKnown(const SubmissionId &id) const
     {
-        return jobNumberById_.contains(id) || recentResults_.contains(id);
+        return jobNumberById_.contains(id) || recentResults_.contains(id) || crashRecords_.isGivenUp(id);
     }
 
     /** @param kind a request kind. @return number of its open jobs of which no task has been ordered. */
