--- a/src/repeatable/cancelled_jobs.cpp
+++ b/src/repeatable/cancelled_jobs.cpp
@@ -15,7 +15,8 @@
         erase(SubmissionId(byTime_.begin()->second));
         ++dropped_;
     }
-    const Record record{now, now + std::min<Duration>(keep, CANCELLATION_RETENTION)};
+    const Duration limited = keep.count() == 0 ? CANCELLATION_RETENTION : std::min<Duration>(keep, CANCELLATION_RETENTION);
+    const Record record{now, now + limited};
     records_.emplace(id, record);
     byTime_.emplace(record.cancelledAt, id);
     byEnd_.emplace(record.keepUntil, id);
--- a/src/repeatable/cancelled_jobs.h
+++ b/src/repeatable/cancelled_jobs.h
@@ -24,7 +24,8 @@
         : limit_(limit)
     { }
 
-    /** Records a cancellation, or renews it. @param id the job. @param keep how long it is remembered, at most CANCELLATION_RETENTION.
+    /** Records a cancellation, or renews it. @param id the job. @param keep how long it is remembered, at most CANCELLATION_RETENTION; 0
+     * for that.
      * @param now current time. @return whether the job was not recorded before. */
     bool add(const SubmissionId &id, Duration keep, Instant now);
 
--- a/src/repeatable/repeatable_job_agent_cancel.cpp
+++ b/src/repeatable/repeatable_job_agent_cancel.cpp
@@ -11,7 +11,9 @@
 void RepeatableJobAgent::onJobCancel(Incarnation entry, const repeat::JobCancel &message, Instant now)
 {
     const SubmissionId &id = message.submission();
+    const std::uint64_t dropped = cancelled_.dropped();
     cancelled_.add(id, Millis(message.keep_ms()), now);
+    counters_.add("agent_cancelled_jobs_dropped", cancelled_.dropped() - dropped);
     counters_.add("agent_cancels_received");
     std::vector<RunKey> keys;
     for (auto run = runsByName_.lower_bound({id, 0, 0, 0}); run != runsByName_.end() && run->first.submission == id; ++run) {
--- a/tests/repeatable/cancellation_test.cpp
+++ b/tests/repeatable/cancellation_test.cpp
@@ -377,7 +377,9 @@
     jobs.forgetOld(START_TIME + Millis(102));
     CHECK_FALSE(jobs.contains("c"));
     CHECK(jobs.size() == 2);
-    CHECK(jobs.add("e", Millis(500'000'000), START_TIME));
+    CHECK(jobs.add("e", Millis(0), START_TIME));
+    jobs.forgetOld(START_TIME + CANCELLATION_RETENTION - Millis(1));
+    CHECK(jobs.contains("e"));
     jobs.forgetOld(START_TIME + CANCELLATION_RETENTION);
     CHECK(jobs.size() == 0);
 }
