Codechange: The stand-in's table knows which machine calls

Cause: the table turned machines away by the address of the caller, but on loopback all calls come from 127.0.0.1, so it turned nobody away: the check of an entry that gets its configuration from peers, the soak's fault and the new check of an evacuation passed by the table. Change: each machine has an address of the table of its own, and the stand-in goes by that. The checks wait until the open watch has ended, and the one on the configuration requires a document from a peer. It also waits until the entry watches the table again, since the next test looks at reads after a watch. medlarmillctl is asked at an agent of the evacuated zone.

--- a/tests/platform_faults.py
+++ b/tests/platform_faults.py
@@ -5,6 +5,7 @@
 import json
 import pathlib
 import signal
+import subprocess
 import sys
 import tempfile
 import threading
@@ -115,10 +116,14 @@
     copies = sum(metric(number, 'entry_config_documents_total{source="peer"') for number in range(ENTRIES)) - before
     good = check(copies <= changes, f"changes in series: {copies:.0f} copies from peers for {changes} changes at {ENTRIES} entries")
     system.table.turned_away.add("127.0.0.11")
+    time.sleep(1.2)  # The watch that the entry has open ends.
     system.table.put("op", "config", json.dumps(config(60, ["check"])).encode())
     time.sleep(1.5)
     versions = [metric(number, "entry_config_version") for number in range(ENTRIES)]
+    given = metric(0, 'entry_config_documents_total{source="peer",result="newer"')
     system.table.turned_away.clear()
+    time.sleep(1.5)  # The entry lists the table and watches it again: the next test looks at reads after a watch.
+    good &= check(given >= 1, f"an entry that the table turns away gets documents from peers: {given:.0f}")
     return good & check(versions == [60] * ENTRIES, f"an entry that the table turns away has the newest version: {versions}")
 
 
@@ -152,11 +157,12 @@
         return max(system.oracle.starts_at.get(name, [0]))
 
     callers = Callers(system, 7)
-    loader = threading.Thread(target=callers.load, args=(16, 20))
+    loader = threading.Thread(target=callers.load, args=(17, 20))
     loader.start()
     time.sleep(1.5)
     good = check(newest("i-1") > time.monotonic() - 1.5, "evacuation: the zone has work before")
     system.table.turned_away.add("127.0.0.11")
+    time.sleep(1.2)  # The watch that the entry has open ends.
     began = time.monotonic()
     system.table.put("op", "evacuate/b", b"{}")
     system.table.put("op", "evacuate/no such zone", b"{}")
@@ -165,6 +171,9 @@
     good &= check(not late, f"evacuation: no start in the zone {EVACUATE_S} s after it; the newest {newest('i-1') - began:.3f} s after")
     known = [metric(number, "entry_zones_evacuated") for number in range(ENTRIES)]
     good &= check(known == [2] * ENTRIES, f"evacuation: every entry knows it, also the one without the table {known}")
+    answer = json.loads(subprocess.run([system.build / "medlarmillctl", "--json", "zones", "127.0.0.22:9464"], capture_output=True, timeout=10).stdout)
+    good &= check([(zone["zone"], zone["runs_left"]) for zone in answer["evacuated"]] == [("b", 0), ("no%20such%20zone", 0)],
+                  f"evacuation: medlarmillctl prints what an agent of the zone knows {answer}")
     returned = time.monotonic()
     for zone in ("b", "no such zone"):
         system.table.remove("op", f"evacuate/{zone}")
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -174,6 +174,24 @@
                 self.changed.wait(left)
 
 
+class TableDoor(Server):
+    """An address of the table for one machine. All connections on loopback come from 127.0.0.1, so that the table can turn a machine away
+    only by the address it calls."""
+
+    def __init__(self, table, machine, ip, port):
+        self.table = table
+        self.machine = machine
+        super().__init__(ip, port)
+        self.unheard = table.unheard
+
+    @property
+    def silent_before(self):
+        return self.table.silent_before
+
+    def answer_to(self, caller, method, path, query, body, headers):
+        return self.table.answer_to(self.machine, method, path, query, body, headers)
+
+
 class Endpoint(Server):
     """Runs tasks under leases. The run time in ms is the first word of the spec; one that ends with "crash" crashes the endpoint."""
 
--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -9,7 +9,7 @@
 import threading
 import time
 
-from platform_standin import Endpoint, Oracle, Table
+from platform_standin import Endpoint, Oracle, Table, TableDoor
 
 ENTRIES = 3
 AGENTS = 4
@@ -41,6 +41,7 @@
         self.stopping = False
         self.version = 3
         self.proxies = []
+        self.doors = {}
         try:
             self.start_all(through)
         except BaseException:
@@ -62,8 +63,11 @@
             threading.Thread(target=self.announce, args=(ip, self.endpoints[ip]), daemon=True).start()
 
     def write_settings(self, name, ip, is_entry, zone="a"):
+        door = f"127.0.1.{ip.rsplit('.', 1)[1]}"
+        if ip not in self.doors:
+            self.doors[ip] = TableDoor(self.table, ip, door, TABLE[1])
         lines = [f"node_name={name}", f"ip={ip}", f"zone={zone}", f"listen_addrs.control={ip}:18166", "port_range=17720,17735",
-                 "seeds=127.0.0.11:18166", f"platform.address={TABLE[0]}:{TABLE[1]}", "bounds.hold_max_ms=1000", "bounds.grace_s=6",
+                 "seeds=127.0.0.11:18166", f"platform.address={door}:{TABLE[1]}", "bounds.hold_max_ms=1000", "bounds.grace_s=6",
                  "bounds.retransmit_ms=1300", "bounds.stop_ms=50"]
         lines += [f"listen_addrs.front={ip}:18161", f"listen_addrs.readiness_addr={ip}:18167"] if is_entry else [f"app={ip}:18165", "service=desk"]
         (self.folder / f"{name}.conf").write_text("\n".join(lines) + "\n")
@@ -113,7 +117,7 @@
         for process in self.processes.values():
             process.kill()
             process.wait()
-        for server in [*self.proxies, *self.endpoints.values()]:
+        for server in [*self.proxies, *self.endpoints.values(), *self.doors.values()]:
             server.close()
         self.table.close()
 
