--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -9,7 +9,7 @@
 import threading
 import time
 
-from platform_standin import Endpoint, Oracle, Table
+from platform_standin import Endpoint, Oracle, Table, TableListener
 
 ENTRIES = 3
 AGENTS = 4
@@ -19,6 +19,7 @@
 PATIENCE_MS = 2000
 NETWORK = os.environ.get("MEDLARMILL_TEST_NETWORK", "127.0.0")  # Loopback network of all addresses; two systems at one time need two.
 TABLE = (f"{NETWORK}.99", 18169)
+TABLE_NETWORK = NETWORK.replace("127.0.", "127.1.", 1)  # Each machine has an address of the table of its own there.
 
 
 def config(version, routes):
@@ -46,6 +47,7 @@
         self.stopping = False
         self.version = 3
         self.proxies = []
+        self.table_listeners = {}
         try:
             self.start_all(through)
         except BaseException:
@@ -67,8 +69,11 @@
             threading.Thread(target=self.announce, args=(ip, self.endpoints[ip]), daemon=True).start()
 
     def write_settings(self, name, ip, is_entry, zone="a"):
+        address = f"{TABLE_NETWORK}.{ip.rsplit('.', 1)[1]}"
+        if ip not in self.table_listeners:
+            self.table_listeners[ip] = TableListener(self.table, ip, address, TABLE[1])
         lines = [f"node_name={name}", f"ip={ip}", f"zone={zone}", f"listen_addrs.control={ip}:18166", "port_range=17720,17735",
-                 f"seeds={NETWORK}.11:18166", f"platform.address={TABLE[0]}:{TABLE[1]}", "bounds.hold_max_ms=1000", "bounds.grace_s=6",
+                 f"seeds={NETWORK}.11:18166", f"platform.address={address}:{TABLE[1]}", "bounds.hold_max_ms=1000", "bounds.grace_s=6",
                  "bounds.retransmit_ms=1300", "bounds.stop_ms=50"]
         lines += [f"listen_addrs.front={ip}:18161", f"listen_addrs.readiness_addr={ip}:18167"] if is_entry else [f"app={ip}:18165", "service=desk"]
         lines += self.settings
@@ -119,7 +124,7 @@
         for process in self.processes.values():
             process.kill()
             process.wait()
-        for server in [*self.proxies, *self.endpoints.values()]:
+        for server in [*self.proxies, *self.endpoints.values(), *self.table_listeners.values()]:
             server.close()
         self.table.close()
 
