Change: Retry-After follows the drain time of the queue, spread by the job's id

Cause: callers that were refused at one moment got nearly the same retry time, from their own predicted wait, and return at one moment. Change: the time is the larger of predicted wait and drain time, times 0.75 to 1.5 by a stable hash of the id, in 100 ms to 5 s; the limits apply before the spread, so that callers at a limit are spread, too.

--- a/src/repeatable/admission.cpp
+++ b/src/repeatable/admission.cpp
@@ -2,6 +2,8 @@
 
 #include "repeatable/admission.h"
 
+#include "core/hash_func.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -20,6 +22,10 @@
 constexpr Duration IDLE_GRACE
     = Millis(250); ///< So long nothing may wait before the averages decay: under overload queues are empty at times.
 constexpr double DECAY_TIME_US = 80'000; ///< Time constant of the decay after that: 4% are left when nothing has waited for 0.5 s.
+constexpr double MIN_RETRY_SPREAD = 0.75; ///< Retry times are spread from this multiple of the drain time; capacity is free before the end.
+constexpr double MAX_RETRY_SPREAD = 1.5; ///< To this multiple.
+constexpr Duration MIN_RETRY_AFTER = Millis(100); ///< Minimum retry time; shorter ones would load the entry with refusals.
+constexpr Duration MAX_RETRY_AFTER = Millis(5'000); ///< Maximum of the same; lost endpoints are replaced within seconds.
 constexpr double MAX_WAIT_US = 3.6e9; ///< Upper limit of estimates: one hour.
 
 /** @param workBefore work that is done before the last task of the job is ordered. */
@@ -80,6 +86,16 @@
     idleSince_ = idleSince_ == NEVER ? NEVER : std::max(idleSince_, now);
 }
 
+Duration retryDelay(Duration drain, std::string_view id)
+{
+    constexpr double HASH_RANGE = 18'446'744'073'709'551'616.0;
+    // Limits apply before the spread, so that callers at a limit are spread, too.
+    const double base = std::clamp(static_cast<double>(drain.count()), static_cast<double>(MIN_RETRY_AFTER.count()) / MIN_RETRY_SPREAD,
+                                   static_cast<double>(MAX_RETRY_AFTER.count()) / MAX_RETRY_SPREAD);
+    const double spread = MIN_RETRY_SPREAD + (MAX_RETRY_SPREAD - MIN_RETRY_SPREAD) * static_cast<double>(stableHash(id)) / HASH_RANGE;
+    return std::clamp(Duration(static_cast<Duration::rep>(base * spread)), MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+}
+
 AdmissionVerdict checkAdmission(std::span<const QueuedWork> queue, const QueuedWork &job, double rate, double correction, Instant now)
 {
     AdmissionVerdict verdict;
--- a/src/repeatable/admission.h
+++ b/src/repeatable/admission.h
@@ -5,6 +5,7 @@
 #include "core/time_type.h"
 
 #include <span>
+#include <string_view>
 
 namespace medlarmill
 {
@@ -47,6 +48,11 @@
 /** @param work an amount of work. @param rate work that gets done per microsecond. @return time until it is done; at most one hour. */
 Duration estimateWait(double work, double rate);
 
+/** Time that a refused caller is told to wait: the expected drain time, spread over 0.75 to 1.5 of it by a hash of the job's id, so that
+ * callers refused at one moment do not return at one moment. @param drain expected time until the queue is empty. @param id id of the job.
+ * @return the time, from 100 ms to 5 s. */
+Duration retryDelay(Duration drain, std::string_view id);
+
 /** Result of an admission check. */
 struct AdmissionVerdict
 {
--- a/src/repeatable/repeatable_job_entry.cpp
+++ b/src/repeatable/repeatable_job_entry.cpp
@@ -450,7 +450,7 @@
         const Duration wait = estimateQueueingDelay(jobs_.at(number).submission.policy.service);
         // Another entry may have links to agents; Abandoned makes the caller try there.
         const JobResult result = reason == Reason::EndpointAbsent ? JobResult::Abandoned : JobResult::NotRun;
-        finishJob(number, result, reason, now, retryDelay(wait));
+        finishJob(number, result, reason, now, retryDelay(wait, jobs_.at(number).submission.id));
     }
     while (!recentResultTimes_.empty()
            && (recentResultTimes_.front().first + RESULT_RETENTION < now || recentResultTimes_.size() > MAX_RETAINED_RESULTS)) {
--- a/src/repeatable/repeatable_job_entry.h
+++ b/src/repeatable/repeatable_job_entry.h
@@ -222,7 +222,6 @@
     Duration responseTimeObjective(const RepeatableJob &job, Duration criticalPath) const;
     Duration expectedRunTime(const RepeatableJob &job, const TaskGroup &group) const;
     Duration criticalPathTime(const RepeatableJob &job) const;
-    Duration retryDelay(Duration wait) const;
     Duration estimateQueueingDelay(std::string_view service) const;
     std::vector<QueuedWork> queuedWork(std::string_view service, std::string_view label) const;
     void unblockTasks(Job &job);
--- a/src/repeatable/repeatable_job_entry_admission.cpp
+++ b/src/repeatable/repeatable_job_entry_admission.cpp
@@ -14,16 +14,10 @@
 namespace
 {
 
-constexpr Duration MIN_RETRY_AFTER = Millis(100); ///< Minimum retry time sent to a refused caller.
-constexpr Duration MAX_RETRY_AFTER = Millis(5'000); ///< Maximum of the same; lost endpoints are replaced within seconds.
+constexpr Duration EVACUATED_RETRY_AFTER = Millis(5'000); ///< Operators take zones back after minutes rather than moments.
 
 }
 
-Duration RepeatableJobEntry::retryDelay(Duration wait) const
-{
-    return std::clamp(wait, MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-}
-
 std::vector<QueuedWork> RepeatableJobEntry::queuedWork(std::string_view service, std::string_view label) const
 {
     absl::flat_hash_map<std::string_view, double> shareByLabel = {{label, 1.0}};
@@ -98,14 +92,14 @@
 RepeatableJobEntry::Admission RepeatableJobEntry::checkNewJob(const RepeatableJob &job, Instant now) const
 {
     if (jobs_.size() >= settings_.maxJobs) {
-        return {Reason::JobTableFull, Duration(0), MIN_RETRY_AFTER};
+        return {Reason::JobTableFull, Duration(0), retryDelay(Duration(0), job.id)};
     }
     // While the capacity is not known, as after a pause of this process, jobs wait for the links; isIsolated() limits that.
     if (!isCapacityKnown(now)) {
         return {};
     }
     if (placement_.isWhollyEvacuated(job.policy.service)) {
-        return {Reason::Evacuated, Duration(0), MAX_RETRY_AFTER};
+        return {Reason::Evacuated, Duration(0), EVACUATED_RETRY_AFTER};
     }
     const Duration criticalPath = criticalPathTime(job);
     const Instant latestStart = now + responseTimeObjective(job, criticalPath) - criticalPath;
@@ -128,7 +122,9 @@
     if (admission.refusal != Reason::None && isPlacedAtOnce(job, latestStart)) {
         admission.refusal = Reason::None;
     }
-    admission.retryAfter = retryDelay(admission.predictedWait);
+    if (admission.refusal != Reason::None) {
+        admission.retryAfter = retryDelay(std::max(admission.predictedWait, estimateQueueingDelay(service)), job.id);
+    }
     return admission;
 }
 
--- a/tests/repeatable/repeatable_job_unit_test.cpp
+++ b/tests/repeatable/repeatable_job_unit_test.cpp
@@ -8,7 +8,9 @@
 #include "repeatable/repeatable_job_entry.h"
 #include "repeatable_job_recorder.h"
 
+#include <array>
 #include <doctest/doctest.h>
+#include <string>
 
 namespace
 {
@@ -91,6 +93,28 @@
     CHECK(correction.value(START_TIME) <= 1.5);
 }
 
+// Guards against callers that were refused together and return together, which makes the next crest.
+TEST_CASE("retry times are spread by the job's id from 0.75 to 1.5 of the drain time, within their limits")
+{
+    std::array<int, 10> tenths{};
+    for (int job = 0; job < 1'000; ++job) {
+        const std::string id = "j" + std::to_string(job);
+        const Duration delay = retryDelay(Millis(1'000), id);
+        CHECK(delay == retryDelay(Millis(1'000), id));
+        REQUIRE(delay >= Millis(750));
+        REQUIRE(delay < Millis(1'500));
+        ++tenths.at(static_cast<std::size_t>((delay - Millis(750)) / Millis(75)));
+        // At the limits, too.
+        CHECK(retryDelay(Millis(0), id) >= Millis(100));
+        CHECK(retryDelay(std::chrono::hours(1), id) <= Millis(5'000));
+    }
+    for (const int count : tenths) {
+        CHECK(count >= 60);
+    }
+    CHECK(retryDelay(Millis(0), "j1") != retryDelay(Millis(0), "j2"));
+    CHECK(retryDelay(std::chrono::hours(1), "j1") != retryDelay(std::chrono::hours(1), "j2"));
+}
+
 TEST_CASE("the longest lifetime of an orphaned run is shorter than the resubmission delay of callers")
 {
     // Counted from the last message of the entry: the silence limit, a lease on a clock that is 2% slow, and the stop.
