Fix: The stand-in of an endpoint answered polls across its own crash

Cause: a poll under way when the stand-in crashed and started again was answered with the former start time and an empty list, which a process that has crashed cannot do. The agent then took the run for one that a restarted endpoint had lost, and a crashing task was started three times in place of two (event=run_over reason=endpoint_restarted before event=endpoint_reborn). Change: connections opened before a crash end without an answer, for polls under way and for requests that come later. The checks are as before.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -46,6 +46,7 @@
     """An HTTP server on a thread of its own; subclasses answer(method, path, query, body, headers)."""
 
     silent_before = 0  # Connections opened before are silent for good; new ones work.
+    reset_before = 0  # Connections opened before end without an answer: their process has crashed.
 
     def __init__(self, ip, port):
         self.unheard = []  # Requests that arrived on silent connections.
@@ -64,6 +65,9 @@
                 body = self.rfile.read(length)
                 parts = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(parts.query, keep_blank_values=True))
+                if self.opened < owner.reset_before:
+                    self.close_connection = True
+                    return
                 if self.opened < owner.silent_before:
                     owner.unheard.append((self.client_address[0], parts.path, query))
                     time.sleep(SILENCE_S)
@@ -73,7 +77,7 @@
                 if self.opened < owner.silent_before:
                     time.sleep(SILENCE_S)
                     status = None
-                if status is None:
+                if status is None or self.opened < owner.reset_before:
                     self.close_connection = True
                     return
                 data = json.dumps(answer).encode()
@@ -250,6 +254,8 @@
                 self.oracle.end(self.name, task, "crashed")
             self.runs, self.floor, self.ends, self.next_end, self.sequence = {}, {}, [], 1, 0
             self.born, self.began, self.token, self.lease = int(time.time() * 1000), time.monotonic(), 0, 0
+            self.reset_before = self.began
+            self.lock.notify_all()
 
     def answer_late(self, born, *request):
         if born == self.born:  # Orders under way end with the incarnation.
