Feature: The soak plays evacuations, cancellations and clients that misbehave

Cause: the soak knew none of the new parts. Change: once a second, beside the faults as they were, a zone is evacuated or taken back, a job is cancelled at any entry, or 40 clients stop short of the end of a body or a header. They draw from a random generator of their own, so earlier seeds play the same faults as before.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,10 +2,12 @@
 Usage: soak.py BUILD [--seeds N,N,...] [--seconds S] [--log FOLDER]"""
 
 import argparse
+import http.client
 import json
 import pathlib
 import random
 import signal
+import socket
 import sys
 import tempfile
 import threading
@@ -125,16 +127,68 @@
         return lambda: None
 
 
+class OperatorsAndClients(Faults):
+    """Evacuations, cancellations and clients that misbehave. They have a random generator of their own, so that the faults of earlier seeds
+    stay what they were."""
+
+    def __init__(self, system, callers, choose):
+        super().__init__(system, [], choose)
+        self.callers = callers
+        self.kinds = {name[2:]: getattr(self, name) for name in dir(self) if name.startswith("o_")}
+
+    def o_evacuation(self):
+        row = "evacuate/" + self.random.choice("abc")
+        self.system.table.put("op", row, b"{}")
+        return lambda: self.system.table.remove("op", row)
+
+    def o_evacuated_for_a_moment(self):
+        self.o_evacuation()()
+        return lambda: None
+
+    def o_cancellation(self):
+        if self.callers.tasks:
+            connection = http.client.HTTPConnection(f"127.0.0.{11 + self.random.randrange(ENTRIES)}", 18161, timeout=1.5)
+            try:
+                connection.request("DELETE", "/check/" + self.random.choice(list(self.callers.tasks)[-20:]), headers={"Host": "desk.example"})
+            except OSError:
+                connection.close()
+        return lambda: None
+
+    def crowd(self, head, body):
+        clients = []
+        for _ in range(40):
+            try:
+                client = socket.create_connection((f"127.0.0.{11 + self.random.randrange(ENTRIES)}", 18161), timeout=0.5)
+                client.setblocking(False)
+                client.send(f"POST /check/{self.random.getrandbits(64):016x} HTTP/1.1\r\nHost: desk.example\r\n{head}\r\n".encode() + body)
+                clients.append(client)
+            except OSError:
+                continue
+        return lambda: [client.close() for client in clients]
+
+    def o_bodies_that_stop_short(self):
+        return self.crowd("Content-Length: 262144\r\n", b" " * 200_000)
+
+    def o_headers_that_stop_short(self):
+        return self.crowd("X-Field: 1\r\n" * 50 + "X-Last: ", b"")
+
+
 def unexpected_ends(system, faults):
     return [name for name, process in system.processes.items() if process.poll() is not None and name not in faults.expected_ends]
 
 
-def play(system, faults, seconds):
-    """Overlapping faults, two to four a second. @return processes that ended by themselves."""
+def play(system, faults, others, seconds):
+    """Overlapping faults, two to four a second, and others once a second. @return processes that ended by themselves."""
     ended = []
     threads = []
     until = time.monotonic() + seconds
+    next_other = time.monotonic()
     while time.monotonic() < until:
+        if time.monotonic() >= next_other:
+            next_other += 1
+            finish = others.kinds[others.random.choice(sorted(others.kinds))]()
+            threads.append(threading.Timer(others.random.uniform(0.1, 2.5), finish))
+            threads[-1].start()
         kind = faults.random.choice(sorted(faults.kinds))
         span = faults.random.uniform(0.1, 2.5)
         finish = faults.kinds[kind]()
@@ -157,7 +211,7 @@
         system.wait_ready()
         loader = threading.Thread(target=callers.load, args=(seconds, 12))
         loader.start()
-        ended = play(system, faults, seconds)
+        ended = play(system, faults, OperatorsAndClients(system, callers, random.Random(-seed - 1)), seconds)
         loader.join()
         callers.finish()
         time.sleep(CALM_S)
