--- a/src/repeatable/admission.cpp
+++ b/src/repeatable/admission.cpp
@@ -5,7 +5,6 @@
 #include "core/hash_func.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace medlarmill
 {
@@ -13,15 +12,9 @@
 namespace
 {
 
-constexpr double MIN_CORRECTION = 0.5; ///< Lower limit of the factor: after quiet times it must not admit far more than can be served.
-constexpr double MAX_CORRECTION = 10; ///< Upper limit: a job that is expected to be ordered in a tenth of its slack is always admitted.
-constexpr double DEVIATIONS = 3; ///< Added to the mean, in mean deviations: 2 lost goodput above capacity, 4 refused more below it.
-constexpr double MAX_SAMPLE = 2; ///< A ratio counts for at most this multiple of the factor, so that a single outlier does little.
-constexpr double SAMPLE_WEIGHT = 0.1; ///< Weight of a ratio in the moving averages.
-constexpr Duration MIN_PREDICTION = Millis(5); ///< Shorter predictions are within the delay of messages and say nothing.
-constexpr Duration IDLE_GRACE
-    = Millis(250); ///< So long nothing may wait before the averages decay: under overload queues are empty at times.
-constexpr double DECAY_TIME_US = 80'000; ///< Time constant of the decay after that: 4% are left when nothing has waited for 0.5 s.
+constexpr double LATE_FACTOR = 0.5; ///< A job that is ordered late multiplies the slack share by this.
+constexpr double IN_TIME_GAIN = 0.002; ///< A job that is ordered in time adds this.
+constexpr double MIN_SLACK_SHARE = 0.2; ///< Lower limit of the slack share.
 constexpr double MIN_RETRY_SPREAD = 0.75; ///< Retry times are spread from this multiple of the drain time; capacity is free before the end.
 constexpr double MAX_RETRY_SPREAD = 1.5; ///< To this multiple.
 constexpr Duration MIN_RETRY_AFTER = Millis(100); ///< Minimum retry time; shorter ones would load the entry with refusals.
@@ -42,48 +35,9 @@
     return Duration(static_cast<Duration::rep>(time));
 }
 
-void WaitCorrection::onWaitKnown(Duration predicted, Duration actual, Instant now)
+void SlackShare::onJobOrdered(bool inTime)
 {
-    if (predicted < MIN_PREDICTION) {
-        return;
-    }
-    decayUntil(now);
-    const double ratio = static_cast<double>(actual.count()) / static_cast<double>(predicted.count());
-    const double sample = std::min(ratio, MAX_SAMPLE * value(now));
-    deviation_ += SAMPLE_WEIGHT * (std::abs(sample - mean_) - deviation_);
-    mean_ += SAMPLE_WEIGHT * (sample - mean_);
-}
-
-void WaitCorrection::onQueueChanged(bool jobsWait, Instant now)
-{
-    if (jobsWait) {
-        decayUntil(now);
-        idleSince_ = NEVER;
-    } else if (idleSince_ == NEVER) {
-        idleSince_ = now;
-    }
-}
-
-double WaitCorrection::value(Instant now) const
-{
-    const double left = evidenceLeft(now);
-    return std::clamp(1 + (mean_ - 1) * left + DEVIATIONS * deviation_ * left, MIN_CORRECTION, MAX_CORRECTION);
-}
-
-double WaitCorrection::evidenceLeft(Instant now) const
-{
-    if (idleSince_ == NEVER || now - idleSince_ <= IDLE_GRACE) {
-        return 1;
-    }
-    return std::exp(-static_cast<double>((now - idleSince_ - IDLE_GRACE).count()) / DECAY_TIME_US);
-}
-
-void WaitCorrection::decayUntil(Instant now)
-{
-    const double left = evidenceLeft(now);
-    mean_ = 1 + (mean_ - 1) * left;
-    deviation_ *= left;
-    idleSince_ = idleSince_ == NEVER ? NEVER : std::max(idleSince_, now);
+    value_ = inTime ? std::min(1.0, value_ + IN_TIME_GAIN) : std::max(MIN_SLACK_SHARE, value_ * LATE_FACTOR);
 }
 
 Duration retryDelay(Duration drain, std::string_view id)
--- a/src/repeatable/admission.h
+++ b/src/repeatable/admission.h
@@ -18,31 +18,23 @@
 };
 
 /**
- * Learned factor for predicted waiting times. Predictions are too short above capacity, when jobs compete with those of other entries and
- * with later ones that are more urgent. The factor follows the ratios of actual to predicted waiting times (mean plus a multiple of the
- * mean deviation, so that most jobs are in time and not half of them), and is forgotten soon after nothing waits any more.
+ * Part of the time until its latest start in which a job must be expected to be ordered to be admitted. Estimates of waiting times are
+ * too short above capacity, when jobs compete with those of other entries; the share shrinks with each job that is ordered late.
  */
-class WaitCorrection
+class SlackShare
 {
 public:
-    /** The wait of an admitted job is known. @param predicted the prediction made at its admission, without the factor. @param actual time
-     * until its last task was ordered or it was late. @param now current time. */
-    void onWaitKnown(Duration predicted, Duration actual, Instant now);
+    /** All tasks of a job have been ordered, or it is late. @param inTime whether that was before its latest start. */
+    void onJobOrdered(bool inTime);
 
-    /** Notes whether jobs wait; the factor decays to 1 while none does. @param jobsWait whether any job waits. @param now current time. */
-    void onQueueChanged(bool jobsWait, Instant now);
-
-    /** @param now current time. @return the factor by which predictions are to be multiplied, from 0.5 to 10. */
-    double value(Instant now) const;
+    /** @return the share, from 0 to 1. */
+    double value() const
+    {
+        return value_;
+    }
 
 private:
-    double evidenceLeft(Instant now) const;
-    void decayUntil(Instant now);
-
-    double mean_ = 1; ///< Moving average of the ratios.
-    double deviation_ = 0; ///< Moving average of their distance from the mean.
-    Instant idleSince_
-        = NEVER; ///< Since when no job has been waiting, or when the averages last changed after that; NEVER while one waits.
+    double value_ = 1;
 };
 
 /** @param work an amount of work. @param rate work that gets done per microsecond. @return time until it is done; at most one hour. */
@@ -66,7 +58,7 @@
  * @param queue waiting jobs, in ascending order of their latest starts.
  * @param job the new job.
  * @param rate work that the entry gets done per microsecond; 0 or less when it gets none done.
- * @param correction factor for predicted waiting times; see WaitCorrection.
+ * @param correction factor for predicted waiting times: the reciprocal of the slack share; see SlackShare.
  * @param now current time.
  * @return the verdict.
  */
--- a/src/repeatable/repeatable_job_entry.cpp
+++ b/src/repeatable/repeatable_job_entry.cpp
@@ -148,7 +148,6 @@
     const Duration criticalPath = criticalPathTime(submission);
     const Duration objective = responseTimeObjective(submission, criticalPath);
     job.arrivedAt = now;
-    job.predictedWait = admission.predictedWait;
     job.deadline = submission.callerTimeout.count() > 0 ? now + submission.callerTimeout : NEVER;
     job.latestStart = now + objective - criticalPath;
     job.latestUsefulStart
@@ -246,15 +245,12 @@
 void RepeatableJobEntry::dispatchTasks(Instant now)
 {
     while (!onTimeQueue_.empty() && onTimeQueue_.begin()->first < now) {
-        Job &job = jobs_.at(onTimeQueue_.begin()->second);
-        judgeWait(job, now - job.arrivedAt, now);
         lateQueue_.insert(*onTimeQueue_.begin());
         onTimeQueue_.erase(onTimeQueue_.begin());
     }
     dispatchQueue(begunQueue_, now);
     dispatchQueue(onTimeQueue_, now);
     dispatchQueue(lateQueue_, now);
-    waitCorrection_.onQueueChanged(!begunQueue_.empty() || !onTimeQueue_.empty(), now);
 }
 
 void RepeatableJobEntry::dispatchQueue(absl::btree_set<JobRank> &queue, Instant now)
@@ -273,8 +269,8 @@
         if (job.anyTaskOrdered) {
             queue.erase(rank);
         }
-        if (job.waitingTasks == 0) {
-            judgeWait(job, now - job.arrivedAt, now);
+        if (job.waitingTasks == 0 && !std::exchange(job.isSlackJudged, true)) {
+            slackShare_.onJobOrdered(now <= job.latestStart);
         }
         if (job.anyTaskOrdered && job.waitingTasks > 0) {
             begunQueue_.insert(rank);
@@ -569,7 +565,7 @@
             task.avoidedAgent = task.agent;
         }
     } else {
-        job.isWaitJudged = true;
+        job.isSlackJudged = true;
         task.avoidedAgent = task.agent;
     }
     task.attempt = std::max(task.attempt, report.attempt_floor());
--- a/src/repeatable/repeatable_job_entry.h
+++ b/src/repeatable/repeatable_job_entry.h
@@ -186,8 +186,7 @@
         Instant latestUsefulStart; ///< Latest start with which the answer is still useful to the caller.
         bool mayHaveStarted = false; ///< An order ended with an outcome other than RUN_NOT_STARTED.
         bool anyTaskOrdered = false; ///< At least one order has been sent.
-        Duration predictedWait{0}; ///< Time until its last task is ordered, as predicted when it was admitted; 0 without a prediction.
-        bool isWaitJudged = false; ///< It has counted for the correction, or a run of it failed or was lost and it does not count.
+        bool isSlackJudged = false; ///< It has counted for the slack share, or a run of it failed or was lost and it does not count.
         std::string slowestAgent; ///< Agent of the longest run that completed.
         Duration slowestRun{0}; ///< Duration of that run.
     };
@@ -212,13 +211,12 @@
     struct Admission
     {
         Reason refusal = Reason::None; ///< None when the job is admitted.
-        Duration predictedWait{0}; ///< See Job::predictedWait.
+        Duration predictedWait{0}; ///< Time until its last task is ordered, as predicted; 0 without a prediction.
         Duration retryAfter{0}; ///< For a refused job: time to wait before submitting again.
     };
 
     Admission checkNewJob(const RepeatableJob &job, Instant now) const;
     bool isPlacedAtOnce(const RepeatableJob &job, Instant latestStart) const;
-    void judgeWait(Job &job, Duration wait, Instant now);
     Duration responseTimeObjective(const RepeatableJob &job, Duration criticalPath) const;
     Duration expectedRunTime(const RepeatableJob &job, const TaskGroup &group) const;
     Duration criticalPathTime(const RepeatableJob &job) const;
@@ -257,7 +255,7 @@
     absl::btree_set<JobRank> begunQueue_; ///< Jobs with waiting tasks of which others have been ordered; they go first.
     absl::btree_set<JobRank> onTimeQueue_; ///< Other jobs that can still meet their objective.
     absl::btree_set<JobRank> lateQueue_; ///< Other jobs that can no longer meet it; they leave a reserve of capacity.
-    WaitCorrection waitCorrection_;
+    SlackShare slackShare_;
     CrashRecords crashRecords_;
     CancelledJobs cancelled_;
     absl::flat_hash_map<OrderId, OrderRef> orders_; ///< Orders for which no final report has arrived.
--- a/src/repeatable/repeatable_job_entry_admission.cpp
+++ b/src/repeatable/repeatable_job_entry_admission.cpp
@@ -113,7 +113,7 @@
     for (const auto &[label, work] : workByLabel) {
         const std::vector<QueuedWork> queue = queuedWork(service, label);
         const AdmissionVerdict verdict
-            = checkAdmission(queue, {latestStart, work}, placement_.availableCpu(service, {label}), waitCorrection_.value(now), now);
+            = checkAdmission(queue, {latestStart, work}, placement_.availableCpu(service, {label}), 1 / slackShare_.value(), now);
         admission.predictedWait = std::max(admission.predictedWait, verdict.wait);
         if (!verdict.admitted && !queue.empty()) {
             admission.refusal = Reason::DeadlineUnreachable;
@@ -128,11 +128,4 @@
     return admission;
 }
 
-void RepeatableJobEntry::judgeWait(Job &job, Duration wait, Instant now)
-{
-    if (!std::exchange(job.isWaitJudged, true)) {
-        waitCorrection_.onWaitKnown(job.predictedWait, wait, now);
-    }
-}
-
 }
