--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 import ast
 import pathlib
 
-for name in ["tests/platform_standin.py", "tests/platform_system.py", *(f"review/{number}/case.py" for number in range(6, 11))]:
+for name in ["tests/platform_standin.py", "tests/platform_system.py", *(f"review/{number}/case.py" for number in range(6, 11)), "review/seen/early-request/case.py"]:
     if not pathlib.Path(name).exists():
         continue
     ast.parse(pathlib.Path(name).read_text(), name)
--- a/review/8/run.sh
+++ b/review/seen/early-request/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Exit 1: the rule was broken. 0: it held. 2: the case could not run. TROUBLE=0 leaves the disruption out.
-cd "$(dirname "$0")/../.." || exit 2
+cd "$(dirname "$0")/../../.." || exit 2
 [ -x target/medlarmill-entry ] && [ -x target/medlarmill-agent ] || exit 2
-exec python3 review/8/case.py
+exec python3 review/seen/early-request/case.py
