--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -337,10 +337,65 @@
         return 200, base | {"clock_ms": self.clock(), "active": active, "finished": self.ends[:500]}
 
 
+class Border:
+    """The network around one entry: its machine is known to others by a public address, where this proxy stands, and listens at an address
+    of its own. The names of the two have the same length and are put for each other on the way, as address translation does. While it is
+    cut, nothing passes and new connections hang, as DEPLOY says of a machine behind a partition."""
+
+    def __init__(self, world, public, own, port):
+        self.world = world
+        self.names = (public.encode(), own.encode())
+        self.public, self.own, self.port = public, own, port
+        self.is_cut = False
+        self.healed = asyncio.Event()
+        self.healed.set()
+        self.pairs = set()
+
+    async def listen(self):
+        await asyncio.start_server(self.serve, self.public, self.port, backlog=256)
+
+    async def serve(self, reader, writer):
+        await self.healed.wait()
+        try:
+            inner_reader, inner_writer = await asyncio.open_connection(self.own, self.port)
+        except OSError:
+            writer.transport.abort()
+            return
+        public, own = self.names
+        await asyncio.gather(self.pump(reader, inner_writer, public, own), self.pump(inner_reader, writer, own, public))
+
+    async def pump(self, reader, writer, old, new):
+        try:
+            while data := await reader.read(65536):
+                await self.healed.wait()
+                if reader.exception() is not None:
+                    break  # What a partition held up is lost when its sender has reset the connection.
+                writer.write(data.replace(old + b":", new + b":"))
+                await writer.drain()
+        except OSError:
+            pass
+        await self.healed.wait()  # A reset doesn't pass a partition either.
+        writer.transport.abort()
+
+    async def handle_store(self, method, path, query, headers, body):
+        """The store by way of the same translation; this way is not cut."""
+        public, own = (name.decode() for name in self.names)
+        status, document = await self.world.store.handle(method, path, query, headers, body.replace(own.encode() + b":", public.encode() + b":"))
+        return status, json.loads(json.dumps(document).replace(public + ":", own + ":"))
+
+    def cut(self):
+        self.world.note("cut", entry=self.own)
+        self.healed.clear()
+
+    def heal(self):
+        self.world.note("healed", entry=self.own)
+        self.healed.set()
+
+
 class World:
     """A small deployment: entries, agents with an executor each, the store; and what is seen of them."""
 
-    def __init__(self, folder, entries=2, agents=3, seed=1):
+    def __init__(self, folder, entries=2, agents=3, seed=1, bordered=()):
         self.case = pathlib.Path(folder)
         self.record = open(self.case / "record.txt", "w", encoding="utf-8")
         self.began = time.monotonic()
@@ -353,6 +408,8 @@
         self.executors = []
         self.alive = {}  # Runs that are there now, by task.
         self.overlaps = []
+        self.borders = {}
+        self.bordered = bordered
         self.ended_early = []
         self.jobs = {}  # CPU of a task, by job.
         self.tasks = []
@@ -423,8 +480,12 @@
                   f"platform.address={self.network}.9:{self.ports['store']}", "platform.form=table"]
         if not is_entry:
             lines += [f"app={ip}:{self.ports['app']}", f"service={SERVICE}"]
+        text = "\n".join([*lines, *extra]) + "\n"
+        for border in self.borders.values():
+            if ip == border.own:
+                text = text.replace(border.public + ":", border.own + ":").replace(f"{self.network}.9:", f"{self.network}.8:")
         path = self.folder / f"{name}.conf"
-        path.write_text("\n".join([*lines, *extra]) + "\n")
+        path.write_text(text)
         return path
 
     def config(self, version, routes=(PREFIX,)):
@@ -448,7 +509,20 @@
         self.note("process_started", name=name)
 
     def start_entry(self, number):
-        self.start_process(f"entry-{number}", "medlarmill-entry", self.settings(f"entry-{number}", self.entry_ip(number), True))
+        ip = self.borders[number].own if number in self.borders else self.entry_ip(number)
+        self.start_process(f"entry-{number}", "medlarmill-entry", self.settings(f"entry-{number}", ip, True))
+
+    async def put_border(self, number):
+        """Everything of our machines that reaches this entry passes a proxy. It has the highest address, so all others dial it."""
+        public = self.entry_ip(number)
+        border = Border(self, public, public[:-2] + "9" + public[-1], self.ports["link"])
+        self.borders[number] = border
+        await border.listen()
+        await Http(border.handle_store).listen(f"{self.network}.8", self.ports["store"])
+
+    def front_ip(self, number):
+        """Where clients reach an entry; they do not pass the border."""
+        return self.borders[number].own if number in self.borders else self.entry_ip(number)
 
     def start_agent(self, number):
         self.start_process(f"agent-{number}", "medlarmill-agent", self.settings(f"agent-{number}", self.agent_ip(number), False))
@@ -461,6 +535,8 @@
         self.choose_ports()
         await self.store.http.listen(f"{self.network}.9", self.ports["store"])
         await self.store.put("op", "config", json.dumps(self.config(7)).encode())
+        for number in self.bordered:
+            await self.put_border(number)
         for number in range(self.entry_count):
             self.start_entry(number)
         for number in range(self.agent_count):
@@ -477,7 +553,7 @@
         for number in range(self.entry_count):
             while True:
                 try:
-                    status, _ = await call(self.entry_ip(number), self.ports["readiness_addr"], "GET", "/medlarmill/readyz", timeout=1)
+                    status, _ = await call(self.front_ip(number), self.ports["readiness_addr"], "GET", "/medlarmill/readyz", timeout=1)
                     if status == 200:
                         break
                 except (OSError, asyncio.TimeoutError):
@@ -498,7 +574,7 @@
         """A client that waits for the answer. @return status and body, or None without an answer."""
         self.note("submit", job=job, entry=entry)
         try:
-            answer = await call(self.entry_ip(entry), self.ports["front"], "POST", prefix + job, document,
+            answer = await call(self.front_ip(entry), self.ports["front"], "POST", prefix + job, document,
                                 {"X-Deadline-Ms": str(patience_ms)}, timeout=patience_ms / 1000)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
             self.note("no_answer", job=job, entry=entry, error=type(error).__name__)
@@ -509,7 +585,7 @@
     async def cancel(self, entry, job, prefix=PREFIX):
         self.note("cancel", job=job, entry=entry)
         try:
-            status, _ = await call(self.entry_ip(entry), self.ports["front"], "DELETE", prefix + job, timeout=4.0)
+            status, _ = await call(self.front_ip(entry), self.ports["front"], "DELETE", prefix + job, timeout=4.0)
         except (OSError, asyncio.TimeoutError) as error:
             self.note("cancel_no_answer", job=job, error=type(error).__name__)
             return None
