--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -268,7 +268,8 @@
         request = json.loads(body)
         plan = self.trouble(kind, request) if self.trouble else None
         if plan is not None and plan != "lost":
-            asyncio.get_running_loop().call_later(plan, lambda: asyncio.ensure_future(self.carry_out_late(self.born, kind, request, headers)))
+            born = self.born
+            asyncio.get_running_loop().call_later(plan, lambda: asyncio.ensure_future(self.carry_out_late(born, kind, request, headers)))
             return SILENT
         answer = await self.answer(kind, request, headers)
         if plan == "lost":
@@ -277,6 +278,7 @@
         return answer
 
     async def carry_out_late(self, born, kind, request, headers):
+        """An order that waits ends with its process."""
         if born == self.born:
             await self.answer(kind, request | {"wait_ms": 0}, headers)
 
@@ -454,7 +456,20 @@
                     break
             taken.add(port)
             self.ports[name] = port
-        self.ports["link"] = self.random.randint(20000, 30000)
+        self.ports["link"] = self.free_range(16, taken)
+
+    def free_range(self, count, taken):
+        """@return the first of so many ports that are free at the first entry."""
+        while True:
+            first = random.randint(20000, 30000)
+            try:
+                for port in range(first, first + count):
+                    with socket.socket() as probe:
+                        probe.bind((self.entry_ip(0), port))
+            except OSError:
+                continue
+            if not taken & set(range(first, first + count)):
+                return first
 
     def settings(self, name, ip, is_entry, extra=()):
         zones = ["giza", "shubra", "maadi"]
